--- /dev/null
+++ b/cmd/jasminewing/main.go
@@ -0,0 +1,4 @@
+// Command jasminewing routes language-model traffic.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,177 @@
+// Package event holds the numbered log events of jasminewing.
+//
+// Every log line is one of these events; its number stands in the field
+// "event". The catalogue in docs/EVENTS.md is held to this package by a test.
+// No event takes a request's body or a key.
+//
+// # Usage
+//
+//	l := &event.Log{Logger: log.New(os.Stderr)}
+//	l.Write(event.TableApplied, "revision", 12)
+package event
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Number is the number of an event.
+type Number int
+
+// Log events. 1xx are start and stop, 2xx table and fleet, 3xx upstreams,
+// 4xx requests, 5xx idempotency keys.
+const (
+	Started        Number = 101
+	Ready          Number = 102
+	StopAsked      Number = 103
+	Stopped        Number = 104
+	StopForced     Number = 105
+	ListenFailed   Number = 106
+	PauseNoticed   Number = 107
+	TableApplied   Number = 201
+	TableRefused   Number = 202
+	ConfigDown     Number = 203
+	ConfigBack     Number = 204
+	StaleCopy      Number = 205
+	VMListApplied  Number = 206
+	VMListDown     Number = 207
+	PeerRefused    Number = 208
+	VMListBack     Number = 209
+	UpstreamCold   Number = 301
+	UpstreamWarm   Number = 302
+	UpstreamLeaves Number = 303
+	UpstreamDown   Number = 304
+	UpstreamBack   Number = 305
+	DataCentreOut  Number = 306
+	DataCentreIn   Number = 307
+	OrderGiven     Number = 308
+	OrderFailed    Number = 309
+	RequestFailed  Number = 401
+	RequestSuspect Number = 402
+	AnswerCutOff   Number = 403
+	KeyUnknown     Number = 501
+	KeysFull       Number = 502
+)
+
+// Level says how much an event matters.
+type Level int
+
+// Levels.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+// Entry describes an event.
+type Entry struct {
+	Number Number
+	Name   string
+	Level  Level
+	// Text is the message of the log line.
+	Text string
+	// Action is what the event asks of an operator.
+	Action string
+}
+
+// throttleWindow is the time in which an event about one subject is written once.
+const throttleWindow = 10 * time.Second
+
+type throttleKey struct {
+	number  Number
+	subject string
+}
+
+type throttleState struct {
+	since   time.Time
+	dropped int
+}
+
+// Log writes events. Set Logger before use; Now may be set for tests.
+type Log struct {
+	Logger *log.Logger
+	Now    func() time.Time
+
+	mu   sync.Mutex
+	seen map[throttleKey]throttleState
+}
+
+// Write writes an event with pairs of field names and values.
+func (l *Log) Write(n Number, fields ...any) {
+	if l == nil || l.Logger == nil {
+		return
+	}
+	e := n.Entry()
+	fields = append([]any{"event", int(n), "name", e.Name}, fields...)
+	switch e.Level {
+	case Error:
+		l.Logger.Error(e.Text, fields...)
+	case Warn:
+		l.Logger.Warn(e.Text, fields...)
+	default:
+		l.Logger.Info(e.Text, fields...)
+	}
+}
+
+// WriteThrottled writes an event at most once in a window for one subject, and
+// says with the next line how many were left out.
+func (l *Log) WriteThrottled(n Number, subject string, fields ...any) {
+	if l == nil {
+		return
+	}
+	dropped, ok := l.take(throttleKey{n, subject})
+	if !ok {
+		return
+	}
+	fields = append([]any{"subject", subject}, fields...)
+	if dropped > 0 {
+		fields = append(fields, "repeated", dropped)
+	}
+	l.Write(n, fields...)
+}
+
+func (l *Log) take(k throttleKey) (dropped int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.Now != nil {
+		now = l.Now()
+	}
+	if l.seen == nil {
+		l.seen = make(map[throttleKey]throttleState)
+	}
+	s, held := l.seen[k]
+	if held && now.Sub(s.since) < throttleWindow {
+		s.dropped++
+		l.seen[k] = s
+		return 0, false
+	}
+	l.forget(now)
+	l.seen[k] = throttleState{since: now}
+	return s.dropped, true
+}
+
+// forget drops subjects that were quiet for a window, so that the map stays
+// as small as the set of current troubles.
+func (l *Log) forget(now time.Time) {
+	for k, s := range l.seen {
+		if now.Sub(s.since) >= 2*throttleWindow {
+			delete(l.seen, k)
+		}
+	}
+}
+
+// Entry describes the event; an unknown number is described as such.
+func (n Number) Entry() Entry {
+	for _, e := range entries {
+		if e.Number == n {
+			return e
+		}
+	}
+	return Entry{Number: n, Name: "unknown", Level: Error, Text: "unknown event"}
+}
+
+// All gives every event in the order of numbers.
+func All() []Entry { return append([]Entry(nil), entries...) }
--- /dev/null
+++ b/pkg/result/code_test.go
@@ -0,0 +1,55 @@
+package result
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestCodesAreUnique(t *testing.T) {
+	numbers, names := map[Code]bool{}, map[string]bool{}
+	for _, i := range All() {
+		assert.Assert(t, !numbers[i.Code], "%d twice", i.Code)
+		assert.Assert(t, !names[i.Name], "%s twice", i.Name)
+		numbers[i.Code], names[i.Name] = true, true
+	}
+}
+
+// The table in docs/CODES.md is the one this version has. Run with
+// -update to write it anew.
+func TestDocsTable(t *testing.T) {
+	var b strings.Builder
+	b.WriteString(docsHead)
+	for _, i := range All() {
+		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s | %s |\n", i.Code, i.Name, i.Status, yes(i.NotRun), yes(i.Retry), i.Text)
+	}
+	const path = "../../docs/CODES.md"
+	if golden.FlagUpdate() {
+		assert.NilError(t, os.WriteFile(path, []byte(b.String()), 0o644))
+	}
+	got, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, b.String(), string(got))
+}
+
+const docsHead = `# Result codes
+
+Every refusal and failure has a number. Numbers are never reused. "Not run"
+says that this attempt of the request was not run; an answer to a caller says
+` + "`not_run`" + ` only where that holds for the whole request. "Retry" says that the
+same request may succeed later.
+
+| code | name | HTTP status | not run | retry | meaning |
+|---|---|---|---|---|---|
+`
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
