Parse, validate, look up and compare the table

Cause: every other package needs a whole valid table or a full list of what is wrong with it. Ruled out: reflection over struct tags, for ranges, defaults and docs need more than a tag holds; stopping at the first fault, for an operator would mend a sheet in as many rounds as it has faults. Change: one list of columns per section drives parsing, defaults, the comparison of two tables and later the reference page. Row numbers count blank rows and cells with line breaks as a spreadsheet does. Conclusion: a table is refused as a whole with any fault; an emptied sheet, the hash of an empty key and a key window below the deadline of a non-idempotent class are faults too.

--- /dev/null
+++ b/pkg/table/parse_test.go
@@ -0,0 +1,100 @@
+package table
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const (
+	someDataCentres = "name,region\ndc_a,north\ndc_b,north\n"
+	someClasses     = "name,tier,kind,service,idempotent,first_token,token_gap\n" +
+		"quick,1,engine,,yes,1.6s,29ms\nlong,3,engine,,yes,8s,60ms\nbooking,2,plain,desk,no,500ms,\n"
+	someUpstreams = "name,data_centre,kind,serves,limit\n" +
+		"draft_b,dc_b,engine,mini maxi,8\ndraft_a,dc_a,engine,mini,8\ndesk_a,dc_a,plain,desk,4\n"
+	someAccounts = "name,key_sha256,classes,requests_per_second\n" +
+		"walker,64ec88ca00b268e5ba1a35678a1b5316d212f4f366b2477232534a8aeca37f3c,quick booking,2.5\n"
+)
+
+func someSections() []Section {
+	return []Section{
+		{DataCentresSection, 3, []byte(someDataCentres)},
+		{ClassesSection, 9, []byte(someClasses)},
+		{UpstreamsSection, 4, []byte(someUpstreams)},
+		{AccountsSection, 5, []byte(someAccounts)},
+	}
+}
+
+// with replaces or adds one section of the valid table.
+func with(name, data string) []Section {
+	ss := someSections()
+	for i := range ss {
+		if ss[i].Name == name {
+			ss[i].Data = []byte(data)
+			return ss
+		}
+	}
+	return append(ss, Section{name, 1, []byte(data)})
+}
+
+func mustParse(t *testing.T, ss []Section) *Table {
+	t.Helper()
+	tb, faults := Parse(ss)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return tb
+}
+
+func TestParseWhole(t *testing.T) {
+	tb := mustParse(t, someSections())
+	assert.Equal(t, tb.Revision, Revision(9))
+	assert.Equal(t, tb.Classes["booking"].MaxWait, tb.Classes["booking"].Deadline/4)
+	assert.Equal(t, tb.Accounts["walker"].Burst, 3)
+	assert.Equal(t, tb.Upstreams["desk_a"].State, In)
+
+	a, ok := tb.AccountByKey(HashKey("hello world!?"))
+	assert.Assert(t, !ok, a.Name)
+	a, ok = tb.AccountByKey(tb.Accounts["walker"].KeyHash)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Name, AccountName("walker"))
+
+	us := tb.UpstreamsServing(Engine, "mini")
+	assert.Equal(t, len(us), 2)
+	assert.Equal(t, us[0].Name, UpstreamName("draft_a"))
+	assert.Equal(t, len(tb.UpstreamsServing(Plain, "mini")), 0)
+}
+
+func TestClassFor(t *testing.T) {
+	tb := mustParse(t, someSections())
+	a := tb.Accounts["walker"]
+	tests := []struct {
+		name     string
+		kind     UpstreamKind
+		explicit ClassName
+		want     ClassName
+		code     result.Code
+	}{
+		{"first of kind", Engine, "", "quick", result.OK},
+		{"first of other kind", Plain, "", "booking", result.OK},
+		{"named", Plain, "booking", "booking", result.OK},
+		{"not the account's", Engine, "long", "", result.ClassNotAllowed},
+		{"not there", Engine, "none", "", result.UnknownClass},
+		{"of the other kind", Engine, "booking", "", result.UnknownClass},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := tb.ClassFor(a, tt.kind, tt.explicit)
+			assert.Equal(t, result.CodeOf(err), tt.code)
+			assert.Equal(t, c.Name, tt.want)
+		})
+	}
+}
+
+func TestOut(t *testing.T) {
+	tb := mustParse(t, with(DataCentresSection, "name,region,state\ndc_a,north,out\ndc_b,north,in\n"))
+	assert.Equal(t, tb.WhyOut(tb.Upstreams["desk_a"]), result.DataCentreOut)
+	assert.Assert(t, !tb.Out(tb.Upstreams["draft_b"]))
+	u := tb.Upstreams["draft_b"]
+	u.State = Out
+	assert.Equal(t, tb.WhyOut(u), result.UpstreamOut)
+}
--- /dev/null
+++ b/pkg/table/sheet.go
@@ -0,0 +1,119 @@
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"unicode/utf8"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// sheet is a section as text, before any cell is looked at.
+type sheet struct {
+	section string
+	// headerRow is zero where there is no header.
+	headerRow int
+	header    []string
+	records   []record
+}
+
+// record is a row that is not blank.
+type record struct {
+	row   int
+	cells []string
+}
+
+// readSheet splits a section into rows and cells. A fault means that the rest
+// of the section is not known.
+func readSheet(s Section) (sheet, []Fault) {
+	sh := sheet{section: s.Name}
+	if len(s.Data) > MaxSectionBytes {
+		return sh, sh.fault(0, result.TableTooLarge, "%d bytes, at most %d are held", len(s.Data), MaxSectionBytes)
+	}
+	if !utf8.Valid(s.Data) {
+		return sh, sh.fault(invalidRow(s.Data), result.BadCSV, "the text is not UTF-8")
+	}
+	r := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(s.Data, byteOrderMark)))
+	r.FieldsPerRecord = -1
+	// A quoted cell may hold line breaks, which a spreadsheet shows in one row.
+	broken := 0
+	for {
+		cells, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return sh, nil
+		}
+		var p *csv.ParseError
+		if errors.As(err, &p) {
+			return sh, sh.fault(p.StartLine-broken, result.BadCSV, "%v", p.Err)
+		}
+		if err != nil {
+			return sh, sh.fault(0, result.BadCSV, "%v", err)
+		}
+		line, _ := r.FieldPos(0)
+		row := line - broken
+		broken += lineBreaks(cells)
+		if f := sh.add(record{row: row, cells: trimmed(cells)}); f != nil {
+			return sh, f
+		}
+	}
+}
+
+// add takes the first row that is not blank as the header, the others as
+// records.
+func (s *sheet) add(r record) []Fault {
+	if strings.Join(r.cells, "") == "" {
+		return nil
+	}
+	if s.headerRow == 0 {
+		s.headerRow, s.header = r.row, r.cells
+		return nil
+	}
+	if len(r.cells) < len(s.header) {
+		return s.fault(r.row, result.BadCSV, "%d cells under a header of %d; the text may be cut off", len(r.cells), len(s.header))
+	}
+	if strings.Join(r.cells[len(s.header):], "") != "" {
+		return s.fault(r.row, result.BadCSV, "%d cells under a header of %d", len(r.cells), len(s.header))
+	}
+	s.records = append(s.records, r)
+	return nil
+}
+
+func (s *sheet) fault(row int, code result.Code, format string, args ...any) []Fault {
+	return []Fault{{Section: s.section, Row: row, Code: code, Detail: fmt.Sprintf(format, args...)}}
+}
+
+func invalidRow(data []byte) int {
+	row := 1
+	for len(data) > 0 {
+		r, n := utf8.DecodeRune(data)
+		if r == utf8.RuneError && n == 1 {
+			return row
+		}
+		if r == '\n' {
+			row++
+		}
+		data = data[n:]
+	}
+	return row
+}
+
+func lineBreaks(cells []string) int {
+	n := 0
+	for _, c := range cells {
+		n += strings.Count(c, "\n")
+	}
+	return n
+}
+
+func trimmed(cells []string) []string {
+	for i, c := range cells {
+		cells[i] = strings.TrimSpace(c)
+	}
+	return cells
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -13,7 +13,10 @@
 //	}
 package table
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Names and units of the table.
 type (
@@ -133,7 +136,8 @@
 	InFlight int
 }
 
-// Table is a whole valid table. It is never changed once made.
+// Table is a whole valid table. It is never changed once made, and may be read
+// by many at once.
 type Table struct {
 	// Revision is the highest revision of the values it was made from.
 	Revision    Revision
@@ -141,4 +145,7 @@
 	Upstreams   map[UpstreamName]Upstream
 	Classes     map[ClassName]Class
 	Accounts    map[AccountName]Account
+
+	once    sync.Once
+	indexed *index
 }
--- /dev/null
+++ b/pkg/table/validate.go
@@ -0,0 +1,127 @@
+package table
+
+import (
+	"fmt"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// check looks at what no single cell shows: duplicates, references, and cells
+// that contradict each other.
+func (d *draft) check() {
+	d.faults = append(d.faults, duplicates(d.dataCentres, "name", func(r *DataCentre) DataCentreName { return r.Name })...)
+	d.faults = append(d.faults, duplicates(d.upstreams, "name", func(r *Upstream) UpstreamName { return r.Name })...)
+	d.faults = append(d.faults, duplicates(d.classes, "name", func(r *Class) ClassName { return r.Name })...)
+	d.faults = append(d.faults, duplicates(d.accounts, "name", func(r *Account) AccountName { return r.Name })...)
+	d.faults = append(d.faults, duplicates(d.accounts, "key_sha256", func(r *Account) KeyHash { return r.KeyHash })...)
+	d.checkUpstreams()
+	d.checkClasses()
+	d.checkAccounts()
+}
+
+// duplicates finds rows that share what must be theirs alone. Empty cells have
+// faults of their own.
+func duplicates[T any, K comparable](rows []row[T], column string, key func(*T) K) []Fault {
+	var faults []Fault
+	var none K
+	first := make(map[K]*row[T], len(rows))
+	for i := range rows {
+		r := &rows[i]
+		k := key(&r.value)
+		if k == none {
+			continue
+		}
+		if f, held := first[k]; held {
+			faults = append(faults, r.fault(column, result.DuplicateRow, "%s row %d has the same", f.section, f.number))
+			continue
+		}
+		first[k] = r
+	}
+	return faults
+}
+
+func (d *draft) checkUpstreams() {
+	centres := make(map[DataCentreName]bool)
+	for _, r := range d.dataCentres {
+		centres[r.value.Name] = true
+	}
+	for i := range d.upstreams {
+		r := &d.upstreams[i]
+		u := r.value
+		if !d.unread[DataCentresSection] && u.DataCentre != "" && !centres[u.DataCentre] {
+			d.faults = append(d.faults, r.fault("data_centre", result.DanglingReference, "no data centre %q", u.DataCentre))
+		}
+		if !r.whole {
+			continue
+		}
+		if u.Kind == Plain && len(u.Serves) != 1 {
+			d.faults = append(d.faults, r.fault("serves", result.InconsistentRow, "a plain upstream serves one service, not %d", len(u.Serves)))
+		}
+		if u.ColdLimit > u.Limit {
+			d.faults = append(d.faults, r.fault("cold_limit", result.InconsistentRow, "%d is above the limit of %d", u.ColdLimit, u.Limit))
+		}
+	}
+}
+
+func (d *draft) checkClasses() {
+	served := make(map[ServiceName]bool)
+	for _, r := range d.upstreams {
+		for _, s := range r.value.Serves {
+			served[s] = served[s] || r.value.Kind == Plain
+		}
+	}
+	for i := range d.classes {
+		r := &d.classes[i]
+		c := r.value
+		if !d.unread[UpstreamsSection] && c.Kind == Plain && c.Service != "" && !served[c.Service] {
+			d.faults = append(d.faults, r.fault("service", result.DanglingReference, "no plain upstream serves %q", c.Service))
+		}
+		if !r.whole {
+			continue
+		}
+		for _, x := range contradictions(c) {
+			d.faults = append(d.faults, r.fault(x.column, result.InconsistentRow, "%s", x.detail))
+		}
+	}
+}
+
+// contradiction is a cell that does not go with the rest of its row.
+type contradiction struct {
+	column string
+	detail string
+}
+
+func contradictions(c Class) []contradiction {
+	var xs []contradiction
+	add := func(wrong bool, column, format string, args ...any) {
+		if wrong {
+			xs = append(xs, contradiction{column, fmt.Sprintf(format, args...)})
+		}
+	}
+	add(c.Kind == Plain && c.Service == "", "service", "a plain class needs a service")
+	add(c.Kind == Engine && c.Service != "", "service", "an engine class has no service; its requests name a model")
+	add(c.Kind == Engine && c.TokenGap == 0, "token_gap", "an engine class needs a target between tokens")
+	add(c.Kind == Plain && c.TokenGap != 0, "token_gap", "a plain service has no tokens")
+	add(c.FirstToken > c.Deadline, "first_token", "%v is above the deadline of %v", c.FirstToken, c.Deadline)
+	add(c.MaxWait > c.Deadline, "max_wait", "%v is above the deadline of %v", c.MaxWait, c.Deadline)
+	add(!c.Idempotent && c.KeyWindow < c.Deadline, "key_window", "%v is below the deadline of %v; a key would be forgotten while it runs", c.KeyWindow, c.Deadline)
+	return xs
+}
+
+func (d *draft) checkAccounts() {
+	if d.unread[ClassesSection] {
+		return
+	}
+	classes := make(map[ClassName]bool)
+	for _, r := range d.classes {
+		classes[r.value.Name] = true
+	}
+	for i := range d.accounts {
+		r := &d.accounts[i]
+		for _, c := range r.value.Classes {
+			if !classes[c] {
+				d.faults = append(d.faults, r.fault("classes", result.DanglingReference, "no class %q", c))
+			}
+		}
+	}
+}
