--- /dev/null
+++ b/internal/engine/whole.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+type tokens = table.Tokens
+
+// tailBytes is how much of a whole answer's end is searched for its usage.
+const tailBytes = 4 << 10
+
+var usageKey = []byte(`"completion_tokens":`)
+
+// whole is an answer that is not an event stream. It passes everything on at
+// once and keeps its tail, where engines write the usage.
+type whole struct {
+	first time.Time
+	tail  []byte
+}
+
+func (w *whole) take(now time.Time, p []byte) ([]byte, error) {
+	if w.first.IsZero() {
+		w.first = now
+	}
+	w.tail = append(w.tail, p[max(0, len(p)-tailBytes):]...)
+	if over := len(w.tail) - tailBytes; over > 0 {
+		w.tail = append(w.tail[:0], w.tail[over:]...)
+	}
+	return p, nil
+}
+
+func (w *whole) end() ([]byte, error) { return nil, nil }
+
+// tokens reads the usage. Text that a model wrote cannot be taken for it, since
+// its quotes are escaped.
+func (w *whole) tokens() tokens {
+	i := bytes.LastIndex(w.tail, usageKey)
+	if i < 0 {
+		return 0
+	}
+	digits := bytes.TrimLeft(w.tail[i+len(usageKey):], " ")
+	end := bytes.IndexFunc(digits, func(r rune) bool { return r < '0' || r > '9' })
+	if end < 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(string(digits[:end]))
+	if err != nil {
+		return 0
+	}
+	return tokens(n)
+}
+
+func (w *whole) times(start time.Time) (first, gap time.Duration) {
+	if w.first.IsZero() {
+		return 0, 0
+	}
+	return w.first.Sub(start), 0
+}
