Tell the sink of an answer how many tokens each piece holds

Cause: a gateway that resumes a cut stream must know how many tokens its caller has, without reading the events a second time.

--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -78,6 +78,8 @@
 	// end is called when the transport has marked the end.
 	end() ([]byte, error)
 	tokens() tokens
+	// counted gives how many tokens were seen as such, one by one.
+	counted() tokens
 	times(start time.Time) (first, gap time.Duration)
 }
 
@@ -91,7 +93,7 @@
 			k.fail(result.AnswerTooLarge, "the answer is over the limit")
 			return
 		}
-		if n > 0 && !k.pass(p.take(time.Now(), buffer[:n])) {
+		if n > 0 && !k.take(p, buffer[:n]) {
 			return
 		}
 		if errors.Is(err, io.EOF) {
@@ -105,16 +107,23 @@
 	}
 }
 
+func (k *call) take(p part, read []byte) bool {
+	before := p.counted()
+	data, bad := p.take(time.Now(), read)
+	return k.pass(data, p.counted()-before, bad)
+}
+
 func (k *call) finish(p part) {
-	if k.pass(p.end()) {
+	data, bad := p.end()
+	if k.pass(data, 0, bad) {
 		k.out.Complete = true
 	}
 }
 
 // pass hands data on unless it came with an error.
-func (k *call) pass(data []byte, bad error) bool {
+func (k *call) pass(data []byte, n tokens, bad error) bool {
 	if len(data) > 0 {
-		if err := k.hand(func() error { return k.sink.Data(data) }); err != nil {
+		if err := k.hand(func() error { return k.sink.Data(data, n) }); err != nil {
 			k.fail(result.CallerGone, err.Error())
 			return false
 		}
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 // rawServer answers with raw bytes and closes connections as told.
@@ -101,7 +102,7 @@
 	return nil
 }
 
-func (r *recorder) Data(p []byte) error {
+func (r *recorder) Data(p []byte, _ table.Tokens) error {
 	r.data.Write(p)
 	if r.came != nil {
 		r.came()
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -46,8 +46,9 @@
 	// Head is called once, before any data.
 	Head(status int, h http.Header) error
 	// Data is called for each piece as it is read; of an event stream these are
-	// whole events. The slice is only good until it returns.
-	Data(p []byte) error
+	// whole events, with the number of tokens in them. The slice is only good
+	// until it returns.
+	Data(p []byte, n table.Tokens) error
 }
 
 // Outcome is how a call ended.
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -172,6 +172,8 @@
 
 func (s *stream) tokens() tokens { return s.count }
 
+func (s *stream) counted() tokens { return tokens(s.events) }
+
 func (s *stream) times(start time.Time) (first, gap time.Duration) {
 	if s.first.IsZero() {
 		return 0, 0
--- a/internal/engine/whole.go
+++ b/internal/engine/whole.go
@@ -54,6 +54,8 @@
 	return tokens(n)
 }
 
+func (w *whole) counted() tokens { return 0 }
+
 func (w *whole) times(start time.Time) (first, gap time.Duration) {
 	if w.first.IsZero() {
 		return 0, 0
--- /dev/null
+++ b/internal/wire/transport.go
@@ -0,0 +1,187 @@
+// Package wire is how the processes of a fleet speak to each other: drpc over
+// TCP, after a preamble that proves knowledge of the fleet's secret.
+//
+// # Usage
+//
+//	d := &wire.Dialer{Secret: secret}
+//	defer d.Close()
+//	stream, err := wire.NewDRPCWorkClient(d.To("127.0.0.1:7001")).Run(ctx)
+//
+//	s := &wire.Server{Secret: secret, Work: w, Peer: p}
+//	err := s.Serve(ctx, listener)
+package wire
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const (
+	// MaxFrame is the largest message between processes, in bytes.
+	MaxFrame = 4 << 20
+	// BodyPart is the size of the parts that a body is sent in, in bytes.
+	BodyPart = 64 << 10
+
+	preambleMagic   = "JWING\x00\x01\n"
+	preambleTimeout = 2 * time.Second
+	connectTimeout  = time.Second
+	idleExpiration  = 30 * time.Second
+	idleConns       = 1024
+	idleConnsPerVM  = 64
+	softCancelGrace = time.Second
+)
+
+// Secret is the fleet's secret.
+type Secret string
+
+func (s Secret) preamble() []byte {
+	h := sha256.Sum256([]byte(s))
+	return append([]byte(preambleMagic), h[:]...)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxFrame},
+		SoftCancel:      true,
+		SoftCancelGrace: softCancelGrace,
+	}
+}
+
+// Dialer makes and keeps connections to other processes. Its zero value with a
+// Secret is ready; it is safe for concurrent use.
+type Dialer struct {
+	Secret Secret
+
+	once sync.Once
+	pool *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+func (d *Dialer) init() {
+	d.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		Expiration:  idleExpiration,
+		Capacity:    idleConns,
+		KeyCapacity: idleConnsPerVM,
+	})
+}
+
+// To gives a connection to the process at an IP:port. It dials when used.
+func (d *Dialer) To(address string) drpcpool.Conn {
+	d.once.Do(d.init)
+	return d.pool.Get(context.Background(), address, d.dial)
+}
+
+// Close closes idle connections.
+func (d *Dialer) Close() error {
+	d.once.Do(d.init)
+	return d.pool.Close()
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	nd := net.Dialer{Timeout: connectTimeout}
+	c, err := nd.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial peer: %w", err)
+	}
+	if _, err := c.Write(d.Secret.preamble()); err != nil {
+		_ = c.Close()
+		return nil, fmt.Errorf("dial peer: %w", err)
+	}
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Server serves Work and Peer; either may be nil.
+type Server struct {
+	Secret Secret
+	Work   DRPCWorkServer
+	Peer   DRPCPeerServer
+	// Refused is told of a connection without the secret; it may be nil.
+	Refused func(remote string, err error)
+}
+
+// Serve serves until ctx ends; it closes the listener and every connection.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	m := drpcmux.New()
+	if s.Work != nil {
+		if err := DRPCRegisterWork(m, s.Work); err != nil {
+			return fmt.Errorf("register work: %w", err)
+		}
+	}
+	if s.Peer != nil {
+		if err := DRPCRegisterPeer(m, s.Peer); err != nil {
+			return fmt.Errorf("register peer: %w", err)
+		}
+	}
+	server := drpcserver.NewWithOptions(m, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, &guardedListener{Listener: l, want: s.Secret.preamble(), refused: s.Refused})
+}
+
+type guardedListener struct {
+	net.Listener
+	want    []byte
+	refused func(string, error)
+}
+
+// Accept gives connections whose first read checks the preamble, so that a
+// slow peer holds up nobody else.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &guardedConn{Conn: c, listener: l}, nil
+}
+
+type guardedConn struct {
+	net.Conn
+	listener *guardedListener
+	once     sync.Once
+	err      error
+}
+
+func (c *guardedConn) Read(p []byte) (int, error) {
+	c.once.Do(c.check)
+	if c.err != nil {
+		return 0, c.err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *guardedConn) check() {
+	got := make([]byte, len(c.listener.want))
+	_ = c.SetReadDeadline(time.Now().Add(preambleTimeout))
+	for n := 0; n < len(got); {
+		m, err := c.Conn.Read(got[n:])
+		n += m
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+	}
+	if subtle.ConstantTimeCompare(got, c.listener.want) != 1 {
+		c.refuse(fmt.Errorf("preamble does not match"))
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+func (c *guardedConn) refuse(cause error) {
+	c.err = result.Errorf(result.BadSecret, "connection from %s: %w", c.RemoteAddr(), cause)
+	_ = c.Conn.Close()
+	if c.listener.refused != nil {
+		c.listener.refused(c.RemoteAddr().String(), c.err)
+	}
+}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -148,6 +148,15 @@
 	return Internal
 }
 
+// RetryAfterOf gives how long a caller should wait, zero for unsaid.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
 // String gives the code's name in snake case.
 func (c Code) String() string { return c.Info().Name }
 
