Add the admission core: slots, tier order, cold start, refusing

Cause: a sidecar needs one place that alone decides what its upstream runs. Weighed: push to the upstream on its reported load was ruled out, as the report lags; preempting running work was ruled out, as it discards tokens. Change: a core of typed messages and effects with a limit that starts cold and adapts to measured time between tokens, strict tiers with one grant in N for overdue work, two-level fair shares in a tier, and refusals that take back grants whose body has not come. The usage text no longer names a seed: nothing is drawn at random. Runs says whether a body may still be forwarded.

--- /dev/null
+++ b/internal/admission/core.go
@@ -0,0 +1,151 @@
+package admission
+
+import (
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Defaults of a Core.
+const (
+	DefaultMaxParked  = 1024
+	DefaultGrantLapse = 250 * time.Millisecond
+	DefaultFairSlack  = table.Tokens(512)
+)
+
+// queueRetryAfter is told to offers that a full queue turned away.
+const queueRetryAfter = time.Second
+
+// Core decides what one upstream runs. Its exported fields are set before the
+// first message; a zero field takes its default.
+type Core struct {
+	// Upstream is the row that is in force until the first Configured.
+	Upstream table.Upstream
+	// MaxParked bounds the queue, in offers.
+	MaxParked int
+	// GrantLapse is how long a grant waits for its body.
+	GrantLapse time.Duration
+	// FairSlack is how far a class or client account may run ahead of its fair
+	// share of its tier, in estimated tokens. Within it the earliest due goes
+	// first.
+	FairSlack table.Tokens
+
+	started       bool
+	down          bool
+	leaving       bool
+	dataCentreOut bool
+	sequence      uint64
+	// arrived is the offer that the present message brought.
+	arrived *offer
+	offers  map[OfferID]*offer
+	queue   queue
+	// inFlight holds granted and running offers in the order of their grants.
+	inFlight  []*offer
+	limiter   limiter
+	timings   timings
+	estimates estimates
+	// nextExpiry is no later than the first grant that lapses and the first
+	// deadline of a parked offer; zero for none.
+	nextExpiry time.Time
+	reported   State
+	effects    []Effect
+}
+
+// Handle takes one message and returns what is to be done, in order. Messages
+// that name unknown offers, or come twice or late, change nothing.
+func (c *Core) Handle(now time.Time, m Message) []Effect {
+	c.start()
+	c.arrived = nil
+	c.apply(now, m)
+	c.expire(now)
+	c.schedule(now)
+	c.settle()
+	c.report()
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+// State gives what gateways are to be told now.
+func (c *Core) State() State {
+	c.start()
+	return State{
+		Refusing: c.refusing(),
+		Limit:    c.limiter.limit(),
+		InFlight: len(c.inFlight),
+		Parked:   c.queue.parked,
+		Cold:     c.limiter.cold,
+	}
+}
+
+// Runs says whether the upstream may be given the offer's body: its grant was
+// followed by BodyCame and it has not finished.
+func (c *Core) Runs(id OfferID) bool {
+	o := c.offers[id]
+	return o != nil && o.phase == running
+}
+
+func (c *Core) start() {
+	if c.started {
+		return
+	}
+	c.started = true
+	if c.MaxParked <= 0 {
+		c.MaxParked = DefaultMaxParked
+	}
+	if c.GrantLapse <= 0 {
+		c.GrantLapse = DefaultGrantLapse
+	}
+	if c.FairSlack <= 0 {
+		c.FairSlack = DefaultFairSlack
+	}
+	c.offers = map[OfferID]*offer{}
+	c.limiter.configure(c.Upstream)
+	c.limiter.turnCold()
+	c.reported = c.State()
+}
+
+func (c *Core) apply(now time.Time, m Message) {
+	switch m := m.(type) {
+	case Offered:
+		c.offered(now, m)
+	case Withdrawn:
+		c.withdrawn(m)
+	case BodyCame:
+		c.bodyCame(now, m)
+	case FirstTokenCame:
+		c.firstTokenCame(m)
+	case Finished:
+		c.finished(m)
+	case Configured:
+		c.configured(m)
+	case HealthChanged:
+		c.healthChanged(m)
+	case LeaveAsked:
+		c.changeRefusing(func() { c.leaving = true })
+	case PauseEnded:
+		c.turnCold()
+	case Ticked:
+	}
+}
+
+// report tells gateways of a change that matters to their choice.
+func (c *Core) report() {
+	s, old := c.State(), c.reported
+	same := s.Refusing == old.Refusing &&
+		s.Limit == old.Limit &&
+		s.Cold == old.Cold &&
+		(s.Parked == 0) == (old.Parked == 0)
+	if same {
+		return
+	}
+	c.reported = s
+	c.emit(ReportChanged{State: s})
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) refuse(id OfferID, code result.Code, after time.Duration) {
+	c.emit(Refuse{ID: id, Code: code, RetryAfter: after})
+}
--- /dev/null
+++ b/internal/admission/health.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"slices"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// refusing is why no work is taken; OK while it is. What never ends goes first.
+func (c *Core) refusing() result.Code {
+	switch {
+	case c.leaving:
+		return result.UpstreamLeaving
+	case c.dataCentreOut:
+		return result.DataCentreOut
+	case c.Upstream.State == table.Out:
+		return result.UpstreamOut
+	case c.down:
+		return result.UpstreamUnhealthy
+	}
+	return result.OK
+}
+
+// changeRefusing makes a change, then refuses all that does not run yet, or
+// starts cold where work is taken again.
+func (c *Core) changeRefusing(change func()) {
+	before := c.refusing()
+	change()
+	after := c.refusing()
+	if after != result.OK {
+		c.refuseWaiting(after)
+		return
+	}
+	if before != result.OK {
+		c.turnCold()
+	}
+}
+
+// refuseWaiting refuses granted and parked offers.
+func (c *Core) refuseWaiting(code result.Code) {
+	waiting := c.granted()
+	for _, t := range c.queue.tiers {
+		waiting = append(waiting, t.offers...)
+	}
+	c.refuseAll(waiting, code)
+}
+
+// granted lists the offers whose body has not come, oldest grant first.
+func (c *Core) granted() []*offer {
+	var waiting []*offer
+	for _, o := range c.inFlight {
+		if o.phase == granted {
+			waiting = append(waiting, o)
+		}
+	}
+	return waiting
+}
+
+func (c *Core) configured(m Configured) {
+	c.changeRefusing(func() {
+		c.Upstream = m.Upstream
+		c.dataCentreOut = m.DataCentreOut
+		c.limiter.configure(m.Upstream)
+	})
+}
+
+func (c *Core) healthChanged(m HealthChanged) {
+	c.changeRefusing(func() { c.down = !m.Up })
+	if m.Restarted {
+		c.turnCold()
+	}
+}
+
+// turnCold starts the slow growth anew. Grants above the cold limit whose body
+// has not come are taken back, the newest first; what runs is left alone.
+func (c *Core) turnCold() {
+	c.limiter.turnCold()
+	c.timings = timings{}
+	excess := len(c.inFlight) - c.limiter.limit()
+	for _, o := range slices.Backward(c.granted()) {
+		if excess <= 0 {
+			return
+		}
+		excess--
+		c.refuseAll([]*offer{o}, result.UpstreamUnhealthy)
+	}
+}
--- /dev/null
+++ b/internal/admission/limiter.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// How the limit moves.
+const (
+	// errorBurst is how many unclean ends in a row turn the upstream cold.
+	errorBurst = 3
+	// cutFactor is what a missed target leaves of the warm limit.
+	cutFactor = 0.8
+	// roomFactor is the part of the target below which the limit may grow.
+	roomFactor = 0.9
+)
+
+// stamp tells under which limit a grant was given.
+type stamp struct {
+	// epoch counts turns to cold, step the growths and cuts of the limit.
+	epoch uint64
+	step  uint64
+}
+
+// limiter says how much may be in flight: few when cold, and when warm what the
+// time between tokens allows.
+type limiter struct {
+	ceiling   int
+	coldLimit int
+	cold      bool
+	now       stamp
+	// ramp is the limit while cold.
+	ramp int
+	// clean counts clean ends of what was granted at this step, peak is the
+	// most that ran at once in it.
+	clean int
+	peak  int
+	// unclean counts unclean ends in a row.
+	unclean int
+	// warm is the limit while warm; its fraction is growth under way.
+	warm float64
+}
+
+func (l *limiter) limit() int {
+	if l.cold {
+		return l.ramp
+	}
+	return int(l.warm)
+}
+
+// configure takes the limits of the row. They are at least one.
+func (l *limiter) configure(u table.Upstream) {
+	ceiling := max(u.Limit, 1)
+	coldLimit := min(max(u.ColdLimit, 1), ceiling)
+	if !l.cold && l.warm >= float64(l.ceiling) {
+		l.warm = float64(ceiling)
+	}
+	l.warm = min(l.warm, float64(ceiling))
+	l.ramp = min(l.ramp, ceiling)
+	if l.cold && coldLimit != l.coldLimit {
+		l.ramp = coldLimit
+		l.nextStep()
+	}
+	l.ceiling, l.coldLimit = ceiling, coldLimit
+}
+
+func (l *limiter) turnCold() {
+	l.cold = true
+	l.ramp = l.coldLimit
+	l.warm = float64(l.ceiling)
+	l.unclean = 0
+	l.now.epoch++
+	l.nextStep()
+}
+
+func (l *limiter) nextStep() {
+	l.now.step++
+	l.clean, l.peak = 0, 0
+}
+
+// ran notes how many run at once.
+func (l *limiter) ran(n int) { l.peak = max(l.peak, n) }
+
+// finished takes the end of a request. Target is the tightest between tokens of
+// what ran beside it, full that no slot was free. It says whether errors came
+// in a burst, so that the upstream must turn cold.
+func (l *limiter) finished(s stamp, m Finished, target time.Duration, full bool) bool {
+	if s.epoch != l.now.epoch || m.Cancelled {
+		return false
+	}
+	if !m.Clean {
+		l.unclean++
+		if l.cold {
+			l.nextStep()
+		}
+		return l.unclean >= errorBurst
+	}
+	l.unclean = 0
+	if s.step != l.now.step {
+		return false
+	}
+	missed := target > 0 && m.TokenGap > target
+	if l.cold {
+		l.growCold(missed)
+		return false
+	}
+	l.adapt(m.TokenGap, target, missed, full)
+	return false
+}
+
+// growCold widens the ramp by half once it was filled and a whole limit's worth
+// of what was granted at this step ended clean. A missed target above the cold
+// limit ends the ramp: the upstream is warm and bears less than its row says.
+func (l *limiter) growCold(missed bool) {
+	if missed {
+		if l.ramp > l.coldLimit {
+			l.goWarm(l.ramp)
+			l.cut()
+		}
+		return
+	}
+	l.clean++
+	if l.clean < l.ramp || l.peak < l.ramp {
+		return
+	}
+	if l.ramp >= l.ceiling {
+		l.goWarm(l.ceiling)
+		return
+	}
+	l.ramp = min(l.ramp+max(l.ramp/2, 1), l.ceiling)
+	l.nextStep()
+	if l.ramp >= l.ceiling {
+		l.goWarm(l.ceiling)
+	}
+}
+
+func (l *limiter) goWarm(limit int) {
+	l.cold = false
+	l.warm = float64(limit)
+	l.nextStep()
+}
+
+// adapt moves the warm limit: up by one a round, down by a part at once.
+func (l *limiter) adapt(gap, target time.Duration, missed, full bool) {
+	if missed {
+		l.cut()
+		return
+	}
+	if target > 0 && gap <= 0 {
+		return
+	}
+	if full && float64(gap) <= roomFactor*float64(target) {
+		l.warm = min(l.warm+1/l.warm, float64(l.ceiling))
+	}
+}
+
+func (l *limiter) cut() {
+	l.warm = max(math.Floor(min(l.warm*cutFactor, l.warm-1)), 1)
+	l.nextStep()
+}
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -3,12 +3,16 @@
 //
 // # Usage
 //
-//	c := &admission.Core{Upstream: row, Seed: 1}
+//	c := &admission.Core{Upstream: row}
 //	for m := range messages {
 //		for _, e := range c.Handle(now, m) {
 //			// carry out the effect
 //		}
 //	}
+//
+// One task owns a Core; it is not safe for concurrent use. A body is forwarded
+// only when Runs is true after BodyCame was handled: a grant may have been
+// taken back in between.
 package admission
 
 import (
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,167 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// queue holds the parked offers by tier.
+type queue struct {
+	// tiers are in the order of their priority.
+	tiers  []*tierQueue
+	parked int
+}
+
+// tierQueue holds the parked offers of one tier in the order they came.
+type tierQueue struct {
+	tier    table.Tier
+	offers  []*offer
+	classes group
+	// sinceTurn counts grants since the last that went to an overdue offer of
+	// this tier out of the usual order.
+	sinceTurn int
+	scratch   []*offer
+}
+
+// choice is the offer that goes next.
+type choice struct {
+	offer *offer
+	// turn says that it is its tier's one grant in N.
+	turn bool
+}
+
+func (q *queue) tier(t table.Tier) *tierQueue {
+	i, found := slices.BinarySearchFunc(q.tiers, t, func(t *tierQueue, want table.Tier) int {
+		return cmp.Compare(t.tier, want)
+	})
+	if !found {
+		q.tiers = slices.Insert(q.tiers, i, &tierQueue{tier: t})
+	}
+	return q.tiers[i]
+}
+
+func (q *queue) add(o *offer) {
+	t := q.tier(o.Class.Tier)
+	o.class = t.classes.hold(string(o.Class.Name), int(o.Class.Weight))
+	o.account = o.class.accounts.hold(string(o.Account), int(o.Weight))
+	t.offers = append(t.offers, o)
+	q.parked++
+}
+
+func (q *queue) remove(o *offer) {
+	t := q.tier(o.Class.Tier)
+	i := slices.Index(t.offers, o)
+	if i < 0 {
+		return
+	}
+	t.offers = slices.Delete(t.offers, i, i+1)
+	q.parked--
+}
+
+// victim is the offer that leaves a full queue when o comes in: the newest of
+// the lowest tier that holds any, which is o itself when it is of that tier.
+func (q *queue) victim(o *offer) *offer {
+	for _, t := range slices.Backward(q.tiers) {
+		if len(t.offers) == 0 {
+			continue
+		}
+		if t.tier <= o.Class.Tier {
+			return o
+		}
+		return t.newest()
+	}
+	return o
+}
+
+func (t *tierQueue) newest() *offer {
+	newest := t.offers[0]
+	for _, o := range t.offers {
+		if newest.older(o) {
+			newest = o
+		}
+	}
+	return newest
+}
+
+// next chooses the offer that goes next; its offer is nil when none is parked.
+func (q *queue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) choice {
+	for _, t := range q.tiers {
+		if o := t.turn(now, slack); o != nil {
+			return choice{offer: o, turn: true}
+		}
+	}
+	for _, t := range q.tiers {
+		if len(t.offers) > 0 {
+			return choice{offer: t.next(now, slack, expect)}
+		}
+	}
+	return choice{}
+}
+
+// turn gives the overdue offer that this tier may now grant out of order.
+func (t *tierQueue) turn(now time.Time, slack float64) *offer {
+	if t.sinceTurn < minStarvationShare-1 {
+		return nil
+	}
+	t.scratch = t.scratch[:0]
+	for _, o := range t.offers {
+		if t.sinceTurn >= o.starvationShare()-1 && o.overdue(now) {
+			t.scratch = append(t.scratch, o)
+		}
+	}
+	measure(&t.classes, t.scratch)
+	var best *offer
+	for _, o := range t.scratch {
+		if !o.fair(slack) {
+			continue
+		}
+		if best == nil || o.older(best) {
+			best = o
+		}
+	}
+	return best
+}
+
+// next gives the offer of this tier that goes first: of those within their fair
+// part, the earliest due that can still be in time, else the oldest.
+func (t *tierQueue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) *offer {
+	measure(&t.classes, t.offers)
+	var timely, late *offer
+	for _, o := range t.offers {
+		if !o.fair(slack) {
+			continue
+		}
+		due := o.due()
+		if due.Before(now.Add(expect(o.Class.Name))) {
+			if late == nil || o.older(late) {
+				late = o
+			}
+			continue
+		}
+		if timely == nil || due.Before(timely.due()) {
+			timely = o
+		}
+	}
+	if timely != nil {
+		return timely
+	}
+	return late
+}
+
+// fair says that neither class nor account is too far ahead.
+func (o *offer) fair(slack float64) bool {
+	return o.class.eligible(slack) && o.account.eligible(slack)
+}
+
+// took counts a grant against every tier's next turn.
+func (q *queue) took(ch choice) {
+	for _, t := range q.tiers {
+		t.sinceTurn++
+	}
+	if ch.turn {
+		q.tier(ch.offer.Class.Tier).sinceTurn = 0
+	}
+}
--- /dev/null
+++ b/internal/admission/session_test.go
@@ -0,0 +1,240 @@
+package admission
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+var epoch = time.Date(2026, 4, 18, 5, 0, 0, 0, time.UTC)
+
+// session writes the transcript of messages to a core and of its effects.
+type session struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	text strings.Builder
+	next OfferID
+}
+
+func newSession(t *testing.T, limit, coldLimit int) *session {
+	row := table.Upstream{Name: "drafting_1", Limit: limit, ColdLimit: coldLimit, State: table.In}
+	return &session{t: t, now: epoch, core: &Core{Upstream: row}}
+}
+
+func (s *session) note(text string) { fmt.Fprintf(&s.text, "# %s\n", text) }
+
+func (s *session) wait(d time.Duration) { s.now = s.now.Add(d) }
+
+func (s *session) send(m Message) []Effect {
+	fmt.Fprintf(&s.text, "%8s  %s\n", s.now.Sub(epoch), describe(m))
+	effects := s.core.Handle(s.now, m)
+	for _, e := range effects {
+		fmt.Fprintf(&s.text, "          -> %s\n", describe(e))
+	}
+	return effects
+}
+
+// offer sends offers of a class and gives the id of the last.
+func (s *session) offer(class table.Class, account table.AccountName, n int) OfferID {
+	for range n {
+		s.next++
+		s.send(Offered{
+			ID: s.next, Account: account, Class: class, Arrived: s.now, Deadline: s.now.Add(class.Deadline),
+		})
+	}
+	return s.next
+}
+
+// run answers every grant with its body.
+func (s *session) run() {
+	for _, o := range s.core.granted() {
+		s.send(BodyCame{ID: o.ID})
+	}
+}
+
+// finish ends the n oldest running requests.
+func (s *session) finish(n int, end Finished) {
+	s.run()
+	for range n {
+		end.ID = s.running()[0]
+		s.send(end)
+		s.run()
+	}
+}
+
+func (s *session) running() []OfferID {
+	var ids []OfferID
+	for _, o := range s.core.inFlight {
+		if o.phase == running {
+			ids = append(ids, o.ID)
+		}
+	}
+	return ids
+}
+
+// warm brings the core to its row's limit.
+func (s *session) warm(class table.Class) {
+	limit := s.core.Upstream.Limit
+	for s.core.State().Cold {
+		s.offer(class, "warmer", limit)
+		for len(s.running()) > 0 || len(s.core.granted()) > 0 {
+			s.finish(1, clean(class))
+		}
+	}
+}
+
+// warmQuietly does so without a word in the transcript.
+func (s *session) warmQuietly(class table.Class) {
+	s.warm(class)
+	s.text.Reset()
+	s.next = 100
+	fmt.Fprintf(&s.text, "# warm at limit %d\n", s.core.State().Limit)
+}
+
+func (s *session) golden() {
+	golden.Assert(s.t, s.text.String(), s.t.Name()+".golden")
+}
+
+func clean(class table.Class) Finished {
+	return Finished{Clean: true, Tokens: 50, TokenGap: class.TokenGap / 2}
+}
+
+func describe(v any) string {
+	switch v := v.(type) {
+	case Offered:
+		solo := ""
+		if v.Solo {
+			solo = " solo"
+		}
+		return fmt.Sprintf("offered %d tier %d %s/%s%s", v.ID, v.Class.Tier, v.Class.Name, v.Account, solo)
+	case Configured:
+		return fmt.Sprintf("configured limit %d cold_limit %d %s data_centre_out %t",
+			v.Upstream.Limit, v.Upstream.ColdLimit, v.Upstream.State, v.DataCentreOut)
+	case Refuse:
+		return fmt.Sprintf("refuse %d %d %s", v.ID, v.Code, v.Code)
+	case ReportChanged:
+		st := v.State
+		return fmt.Sprintf("report refusing %s limit %d in_flight %d parked %d cold %t",
+			st.Refusing, st.Limit, st.InFlight, st.Parked, st.Cold)
+	case Finished:
+		return fmt.Sprintf("finished %d clean %t cancelled %t tokens %d gap %s", v.ID, v.Clean, v.Cancelled, v.Tokens, v.TokenGap)
+	}
+	name := strings.TrimPrefix(fmt.Sprintf("%T", v), "admission.")
+	return strings.TrimSpace(strings.ToLower(name) + " " + strings.Trim(fmt.Sprintf("%v", v), "{}"))
+}
+
+// The classes of the tests, in three tiers.
+var (
+	booth = table.Class{
+		Name: "booth", Tier: 1, Weight: 1, FirstToken: 800 * time.Millisecond, TokenGap: 30 * time.Millisecond,
+		Deadline: 20 * time.Second, MaxWait: 2 * time.Second, StarvationShare: 4, MaxTokens: 100,
+	}
+	notice = table.Class{
+		Name: "notice", Tier: 2, Weight: 1, FirstToken: 3 * time.Second, TokenGap: 60 * time.Millisecond,
+		Deadline: 2 * time.Minute, MaxWait: 5 * time.Second, StarvationShare: 4, MaxTokens: 400,
+	}
+	summary = table.Class{
+		Name: "summary", Tier: 3, Weight: 1, FirstToken: 10 * time.Second, TokenGap: 60 * time.Millisecond,
+		Deadline: 5 * time.Minute, MaxWait: 5 * time.Second, StarvationShare: 4, MaxTokens: 1000,
+	}
+)
+
+func TestColdStart(t *testing.T) {
+	s := newSession(t, 4, 1)
+	s.note("a cold upstream takes one, and more only after clean ends of a full ramp")
+	s.offer(notice, "ward", 12)
+	s.run()
+	s.finish(1, clean(notice))
+	s.note("an unclean end starts the step anew")
+	s.finish(1, Finished{})
+	s.finish(2, clean(notice))
+	for s.core.State().Cold {
+		s.finish(1, clean(notice))
+	}
+	assert.Equal(t, s.core.State().Limit, 4)
+	s.golden()
+}
+
+func TestTurnsColdAtFullLoad(t *testing.T) {
+	s := newSession(t, 4, 1)
+	s.warmQuietly(notice)
+	s.note("usual times, at full load")
+	for range 3 {
+		s.offer(notice, "ward", 4)
+		s.run()
+		for _, id := range s.running() {
+			s.send(FirstTokenCame{ID: id, After: 200 * time.Millisecond})
+		}
+		s.finish(4, clean(notice))
+	}
+	s.note("first tokens come late at the same load")
+	s.offer(notice, "ward", 8)
+	s.run()
+	for _, id := range s.running()[:3] {
+		s.send(FirstTokenCame{ID: id, After: 2 * time.Second})
+	}
+	assert.Assert(t, s.core.State().Cold)
+	s.note("what ran before does not count towards warm, and nothing is granted until it drained")
+	s.finish(4, clean(notice))
+	assert.Equal(t, s.core.State().InFlight, 1)
+	s.golden()
+}
+
+func TestTokenGapJump(t *testing.T) {
+	s := newSession(t, 4, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 20)
+	s.finish(16, Finished{Clean: true, Tokens: 50, TokenGap: 15 * time.Millisecond})
+	s.note("gaps of 55 ms meet the target of 60 ms but are far above the usual")
+	s.finish(3, Finished{Clean: true, Tokens: 50, TokenGap: 55 * time.Millisecond})
+	assert.Assert(t, s.core.State().Cold)
+	s.golden()
+}
+
+func TestErrorBurst(t *testing.T) {
+	s := newSession(t, 4, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 8)
+	s.note("callers that hang up are no sign of ill health")
+	s.finish(3, Finished{Cancelled: true})
+	s.finish(2, Finished{})
+	assert.Assert(t, !s.core.State().Cold)
+	s.finish(1, Finished{})
+	assert.Assert(t, s.core.State().Cold)
+	s.golden()
+}
+
+func TestRestart(t *testing.T) {
+	s := newSession(t, 4, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 2)
+	s.run()
+	s.offer(notice, "ward", 4)
+	s.note("a new engine: the two grants whose body has not come are taken back")
+	s.send(HealthChanged{Up: true, Restarted: true})
+	s.note("a body that follows a grant taken back must not run")
+	s.send(BodyCame{ID: 104})
+	assert.Assert(t, !s.core.Runs(104))
+	s.finish(2, Finished{})
+	s.golden()
+}
+
+func TestAdaptsToTokenGap(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.warmQuietly(notice)
+	s.note("a missed target cuts once for all that was granted before")
+	s.offer(notice, "ward", 40)
+	s.finish(8, Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond})
+	assert.Equal(t, s.core.State().Limit, 6)
+	s.note("a met target grows it by one a round")
+	s.finish(24, clean(notice))
+	assert.Equal(t, s.core.State().Limit, 8)
+	s.golden()
+}
