--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,203 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// SilentAfter is how long a sidecar may send no report before it is not
+// offered to and its attempts are given up.
+const SilentAfter = 1500 * time.Millisecond
+
+// Report is what a sidecar last said of itself.
+type Report struct {
+	Refusing    result.Code
+	Limit       int
+	InFlight    int
+	Parked      int
+	Cold        bool
+	Incarnation fleet.Incarnation
+}
+
+// Member is a sidecar as a gateway sees it.
+type Member struct {
+	Candidate  Candidate
+	Row        table.Upstream
+	DataCentre table.DataCentreName
+	// Out is the table's or VM list's word that it takes no new work.
+	Out    result.Code
+	Report Report
+	Heard  time.Time
+	// Offered counts this gateway's own offers under way there.
+	Offered int
+}
+
+// WhyNot gives the code of why the member is not offered to, OK if it is.
+func (m *Member) WhyNot(now time.Time) result.Code {
+	switch {
+	case m.Out != result.OK:
+		return m.Out
+	case m.Heard.IsZero() || now.Sub(m.Heard) > SilentAfter:
+		return result.SidecarUnreached
+	default:
+		return m.Report.Refusing
+	}
+}
+
+// load is the share of the upstream's capacity that is taken, over its weight.
+// What was offered since the last report is not in that report yet.
+func (m *Member) load() float64 {
+	busy := max(m.Report.InFlight, m.Offered) + m.Report.Parked
+	limit := max(m.Report.Limit, 1)
+	weight := max(float64(m.Row.Weight), 1)
+	return float64(busy+1) / float64(limit) / weight
+}
+
+// Pool holds the members that a gateway may offer to. It is safe for
+// concurrent use.
+type Pool struct {
+	// Seed fixes the choice between equals.
+	Seed uint64
+
+	mu      sync.Mutex
+	members map[Candidate]*Member
+	// order fixes the order in which members are weighed.
+	order  []*Member
+	random *rand.Rand
+}
+
+// Set makes the pool hold these members, keeping reports of those that stay.
+func (p *Pool) Set(members []Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := make(map[Candidate]*Member, len(members))
+	order := make([]*Member, 0, len(members))
+	for _, m := range members {
+		if old := p.members[m.Candidate]; old != nil {
+			m.Report, m.Heard, m.Offered = old.Report, old.Heard, old.Offered
+		}
+		fresh[m.Candidate] = &m
+		order = append(order, &m)
+	}
+	sort.Slice(order, func(i, j int) bool { return order[i].Candidate.VM < order[j].Candidate.VM })
+	p.members, p.order = fresh, order
+}
+
+// Hear takes a report.
+func (p *Pool) Hear(now time.Time, c Candidate, r Report) {
+	p.with(c, func(m *Member) {
+		m.Report = r
+		m.Heard = now
+	})
+}
+
+// Begin counts an offer.
+func (p *Pool) Begin(c Candidate) { p.with(c, func(m *Member) { m.Offered++ }) }
+
+// End takes an offer back out of the count.
+func (p *Pool) End(c Candidate) { p.with(c, func(m *Member) { m.Offered-- }) }
+
+func (p *Pool) with(c Candidate, f func(*Member)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[c]; m != nil {
+		f(m)
+	}
+}
+
+// Members gives a copy of all members, by name of VM.
+func (p *Pool) Members() []Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Member, 0, len(p.members))
+	for _, m := range p.order {
+		all = append(all, *m)
+	}
+	return all
+}
+
+// Silent says that the candidate has sent no report for too long.
+func (p *Pool) Silent(now time.Time, c Candidate) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[c]
+	return m == nil || now.Sub(m.Heard) > SilentAfter
+}
+
+// Pick gives the candidate with the least load that serves what is asked and
+// takes work. Cold ones come after all others, for they bear only a little.
+func (p *Pool) Pick(now time.Time, kind table.UpstreamKind, s table.ServiceName, tried map[Candidate]bool) (Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *Member
+	equals := 0
+	for _, m := range p.order {
+		if tried[m.Candidate] || !serves(m.Row, kind, s) || m.WhyNot(now) != result.OK {
+			continue
+		}
+		switch order := compare(m, best); {
+		case order < 0:
+			best, equals = m, 1
+		case order == 0:
+			equals++
+			if p.draw(equals) == 0 {
+				best = m
+			}
+		}
+	}
+	if best == nil {
+		return Candidate{}, false
+	}
+	return best.Candidate, true
+}
+
+// draw gives a number below n; taking the nth of equals at 0 gives each of
+// them the same chance.
+func (p *Pool) draw(n int) int {
+	if p.random == nil {
+		p.random = rand.New(rand.NewPCG(p.Seed, p.Seed))
+	}
+	return p.random.IntN(n)
+}
+
+func compare(m, best *Member) int {
+	if best == nil {
+		return -1
+	}
+	if a, b := coldAndFull(m), coldAndFull(best); a != b {
+		if b {
+			return -1
+		}
+		return 1
+	}
+	switch a, b := m.load(), best.load(); {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func coldAndFull(m *Member) bool {
+	return m.Report.Cold && max(m.Report.InFlight, m.Offered) >= m.Report.Limit
+}
+
+func serves(row table.Upstream, kind table.UpstreamKind, s table.ServiceName) bool {
+	if row.Kind != kind {
+		return false
+	}
+	for _, served := range row.Serves {
+		if served == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/serving.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Serving gives the VMs of sidecars whose upstream serves a model or a plain
+// service and is neither leaving nor out, in the order of the list.
+func (v *View) Serving(kind table.UpstreamKind, s table.ServiceName) []VM {
+	if v.Table == nil {
+		return nil
+	}
+	var vms []VM
+	for _, vm := range v.VMs.VMs {
+		if vm.Role != Sidecar || vm.State == Leaving {
+			continue
+		}
+		row, ok := v.Table.Upstreams[vm.Upstream]
+		if !ok || row.Kind != kind || v.Table.WhyOut(row) != result.OK {
+			continue
+		}
+		for _, served := range row.Serves {
+			if served == s {
+				vms = append(vms, vm)
+				break
+			}
+		}
+	}
+	return vms
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// writeTimeout bounds how long a caller may take to accept a part of its answer.
+const writeTimeout = 30 * time.Second
+
+// answer writes to a caller. A streamed answer goes out as it comes; any other
+// is kept until it is whole, so that it can be had anew.
+type answer struct {
+	w        http.ResponseWriter
+	id       dispatch.RequestID
+	streamed bool
+	limit    int64
+	arrived  time.Time
+	detail   string
+
+	status    int
+	headers   []*wire.Header
+	body      bytes.Buffer
+	sent      bool
+	failed    bool
+	firstByte time.Time
+	lastByte  time.Time
+	gaps      func(time.Duration)
+}
+
+func (a *answer) takeHead(status int, headers []*wire.Header) {
+	a.status, a.headers = status, headers
+}
+
+func (a *answer) takeData(p []byte) {
+	a.noteTime()
+	if !a.streamed {
+		a.keep(p)
+		return
+	}
+	if !a.sent {
+		a.sendHead()
+	}
+	a.write(p)
+}
+
+func (a *answer) noteTime() {
+	now := time.Now()
+	if a.firstByte.IsZero() {
+		a.firstByte = now
+	} else if a.gaps != nil && a.streamed {
+		a.gaps(now.Sub(a.lastByte))
+	}
+	a.lastByte = now
+}
+
+func (a *answer) keep(p []byte) {
+	if int64(a.body.Len()+len(p)) > a.limit {
+		a.failed = true
+		return
+	}
+	a.body.Write(p)
+}
+
+// discard forgets what was kept of an answer that will be had anew.
+func (a *answer) discard() {
+	a.status, a.headers = 0, nil
+	a.body.Reset()
+	a.firstByte = time.Time{}
+}
+
+func (a *answer) sendHead() {
+	h := a.w.Header()
+	for _, kv := range a.headers {
+		if kv.Name == "Content-Length" || kv.Name == "X-Request-Id" {
+			continue
+		}
+		h.Add(kv.Name, kv.Value)
+	}
+	h.Set("X-Request-Id", string(a.id))
+	if !a.streamed {
+		h.Set("Content-Length", strconv.Itoa(a.body.Len()))
+	}
+	a.sent = true
+	a.w.WriteHeader(a.status)
+}
+
+func (a *answer) write(p []byte) {
+	if a.failed {
+		return
+	}
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := a.w.Write(p); err != nil {
+		a.failed = true
+		return
+	}
+	if a.streamed {
+		a.failed = control.Flush() != nil
+	}
+}
+
+// conclude ends the answer. An answer that was begun and cannot be finished is
+// ended with an error that no client can take for an end.
+func (a *answer) conclude(f dispatch.Finish) {
+	switch {
+	case f.Code == result.OK && !a.streamed && a.failed:
+		a.fail(dispatch.Finish{Code: result.AnswerTooLarge})
+	case f.Code == result.OK && !a.sent:
+		a.sendHead()
+		a.write(a.body.Bytes())
+	case f.Code == result.OK:
+	case a.sent:
+		a.breakOff(f)
+	default:
+		a.fail(f)
+	}
+}
+
+// errorBody is an error in the OpenAI shape, with what jasminewing adds.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string `json:"message"`
+	Type      string `json:"type"`
+	Code      int    `json:"code"`
+	NotRun    bool   `json:"not_run"`
+	RequestID string `json:"request_id"`
+}
+
+func (a *answer) errorJSON(f dispatch.Finish) []byte {
+	info := f.Code.Info()
+	message := info.Text
+	if a.detail != "" {
+		message += ": " + a.detail
+	}
+	b, err := json.Marshal(errorBody{errorDetail{
+		Message: message, Type: info.Name, Code: int(f.Code), NotRun: f.NotRun, RequestID: string(a.id),
+	}})
+	if err != nil {
+		return []byte(`{"error":{"type":"internal","code":6999}}`)
+	}
+	return b
+}
+
+func (a *answer) fail(f dispatch.Finish) {
+	info := f.Code.Info()
+	h := a.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", string(a.id))
+	if info.Retry {
+		h.Set("Retry-After", retryAfter(f.RetryAfter))
+	}
+	a.sent = true
+	status := info.Status
+	if status == http.StatusOK {
+		status = http.StatusInternalServerError
+	}
+	a.w.WriteHeader(status)
+	a.streamed = false
+	a.write(a.errorJSON(f))
+}
+
+func retryAfter(d time.Duration) string {
+	seconds := int((d + time.Second - 1) / time.Second)
+	return strconv.Itoa(max(seconds, 1))
+}
+
+func (a *answer) breakOff(f dispatch.Finish) {
+	if a.streamed {
+		a.write([]byte(fmt.Sprintf("data: %s\n\n", a.errorJSON(f))))
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,144 @@
+// Package gateway is the process that takes callers' requests. It holds each
+// request until its whole answer is out, offers it to sidecars and tries it
+// again where that is allowed; the dispatch core decides, this package puts
+// sockets and tasks round it.
+//
+// # Usage
+//
+//	g := &gateway.Gateway{Name: "gw_1", Fleet: f, Dialer: d, ...}
+//	g.Init()
+//	go g.Run(ctx)
+//	server := &http.Server{Handler: g.Handler()}
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcpool"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Fleet is what the gateway needs of the fleet's view.
+type Fleet interface {
+	View() *fleet.View
+	Subscribe() (<-chan struct{}, func())
+	Behind(r table.Revision, v fleet.ListVersion, from fleet.Address)
+}
+
+// Dialer gives connections to sidecars.
+type Dialer interface {
+	To(address string) drpcpool.Conn
+}
+
+// Quota holds client accounts to their limits.
+type Quota interface {
+	// Take gives result.OK, or the code of the limit that is reached and how
+	// long to wait.
+	Take(now time.Time, a table.Account, estimate table.Tokens) (result.Code, time.Duration)
+	// Done gives back what Take took, with the tokens that were really used.
+	Done(now time.Time, a table.Account, used table.Tokens)
+}
+
+// Suspects knows requests that are suspected of ending upstreams.
+type Suspects interface {
+	// Judge says whether a request must run alone, or gives an error if it is
+	// held back.
+	Judge(now time.Time, o *wire.Offer) (solo bool, err error)
+	// Place gives the one sidecar that may run a suspect.
+	Place(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
+}
+
+// Homes gives the one sidecar that may run a request with an idempotency key.
+type Homes interface {
+	Home(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
+}
+
+// Gateway is one run of the process. Its exported fields are set before Init.
+type Gateway struct {
+	Name      fleet.VMName
+	Fleet     Fleet
+	Dialer    Dialer
+	Quota     Quota
+	Suspects  Suspects
+	Homes     Homes
+	Log       *event.Log
+	MaxBody   int64
+	MaxAnswer int64
+	// MaxWaiting is how many requests may wait for a grant.
+	MaxWaiting int
+	// RetryShare is how many retries a request earns.
+	RetryShare float64
+	// Subset is how many sidecars of a service the gateway speaks to.
+	Subset int
+	// Seed fixes choices between equals.
+	Seed uint64
+
+	pool     dispatch.Pool
+	room     dispatch.Room
+	budget   dispatch.Budget
+	metrics  metricSet
+	traces   traces
+	inFlight sync.WaitGroup
+	draining atomic.Bool
+	ids      requestIDs
+}
+
+// Init makes the gateway ready to serve.
+func (g *Gateway) Init() {
+	g.pool.Seed = g.Seed
+	g.room.Max = g.MaxWaiting
+	g.budget.Share = g.RetryShare
+	g.metrics.init(g)
+	g.ids.init()
+}
+
+// Run follows the fleet and its sidecars until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	m := &members{gateway: g}
+	group.Go(func() error { return m.Run(ctx) })
+	return group.Wait()
+}
+
+// Ready gives result.OK if the balancer may send requests.
+func (g *Gateway) Ready() result.Code {
+	if g.draining.Load() {
+		return result.Stopping
+	}
+	if v := g.Fleet.View(); !v.Ready || v.Table == nil {
+		return result.NotReady
+	}
+	return result.OK
+}
+
+// Drain makes readiness fail; the listener stays open for late arrivals.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// AwaitRequests returns when no request is in flight, or when ctx ends.
+func (g *Gateway) AwaitRequests(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		g.inFlight.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// Members gives the sidecars as this gateway sees them.
+func (g *Gateway) Members() []dispatch.Member { return g.pool.Members() }
+
+// Waiting gives how many requests wait for a grant.
+func (g *Gateway) Waiting() int { return g.room.Waiting() }
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// requestIDs makes ids that are unique in the fleet without asking anybody.
+type requestIDs struct {
+	prefix string
+	count  atomic.Uint64
+}
+
+func (i *requestIDs) init() {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	i.prefix = hex.EncodeToString(b)
+}
+
+func (i *requestIDs) next() dispatch.RequestID {
+	return dispatch.RequestID(fmt.Sprintf("req_%s_%d", i.prefix, i.count.Add(1)))
+}
+
+// Handler serves callers.
+func (g *Gateway) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.UseEncodedPath()
+	r.HandleFunc("/v1/chat/completions", g.serveCall).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", g.serveCall).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", g.serveModels).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", g.serveReady).Methods(http.MethodGet)
+	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall)
+	r.NotFoundHandler = g.refuseWith(result.NotFound)
+	r.MethodNotAllowedHandler = g.refuseWith(result.MethodNotAllowed)
+	return r
+}
+
+func (g *Gateway) refuseWith(code result.Code) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.metrics.refusal(code)
+		a := &answer{w: w, id: g.ids.next(), detail: r.Method + " " + r.URL.Path}
+		a.fail(dispatch.Finish{Code: code, NotRun: true})
+	})
+}
+
+// serveReady is what the platform's balancer asks.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if code := g.Ready(); code != result.OK {
+		http.Error(w, fmt.Sprintf("%d %s", code, code), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// serveCall serves one request from its head to the end of its answer.
+func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	a := &answer{w: w, id: g.ids.next(), limit: g.MaxAnswer, arrived: time.Now()}
+	c, err := g.understand(w, r, a.id)
+	if err != nil {
+		g.refuseCall(a, err)
+		return
+	}
+	a.streamed = c.streamed
+	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
+	if code != result.OK {
+		refusal := result.Errorf(code, "client account %q", c.account.Name)
+		refusal.RetryAfter = after
+		g.refuseCall(a, refusal)
+		return
+	}
+	var used table.Tokens
+	defer func() { g.Quota.Done(time.Now(), c.account, used) }()
+	a.gaps = g.metrics.gap(c)
+	f, tokens := g.execute(r.Context(), c, a)
+	used = tokens
+	g.metrics.finished(c, a, f)
+	g.logFinish(c, a, f)
+	a.conclude(f)
+}
+
+// refuseCall refuses what never became a call or is over its account's limits.
+func (g *Gateway) refuseCall(a *answer, err error) {
+	code := result.CodeOf(err)
+	g.metrics.refusal(code)
+	a.detail = err.Error()
+	a.fail(dispatch.Finish{Code: code, NotRun: code.Info().NotRun, RetryAfter: result.RetryAfterOf(err)})
+}
+
+func (g *Gateway) logFinish(c *call, a *answer, f dispatch.Finish) {
+	switch {
+	case f.Code == result.OK || f.Code == result.CallerGone:
+	case f.Code == result.AnswerAbandoned:
+		g.Log.WriteThrottled(event.AnswerCutOff, string(c.class.Name), "request_id", c.id, "code", int(f.Code), "detail", a.detail)
+	default:
+		g.Log.WriteThrottled(event.RequestFailed, string(c.class.Name)+"/"+f.Code.String(),
+			"request_id", c.id, "code", int(f.Code), "detail", a.detail)
+	}
+}
+
+// modelList is the answer of /v1/models in the OpenAI shape.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
+	a := &answer{w: w, id: g.ids.next()}
+	v := g.Fleet.View()
+	if v.Table == nil {
+		g.refuseCall(a, result.Errorf(result.NotReady, "no table yet"))
+		return
+	}
+	if _, err := authenticate(v.Table, r.Header); err != nil {
+		g.refuseCall(a, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(modelsOf(v.Table))
+}
+
+func modelsOf(t *table.Table) modelList {
+	var names []string
+	for _, u := range t.Upstreams {
+		if u.Kind != table.Engine {
+			continue
+		}
+		for _, s := range u.Serves {
+			names = append(names, string(s))
+		}
+	}
+	slices.Sort(names)
+	list := modelList{Object: "list"}
+	for _, n := range slices.Compact(names) {
+		list.Data = append(list.Data, modelItem{ID: n, Object: "model"})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// metricSet holds the gateway's metrics. Labels are classes, codes and
+// reasons only: client accounts are too many.
+type metricSet struct {
+	set *metrics.Set
+}
+
+func (m *metricSet) init(g *Gateway) {
+	m.set = metrics.NewSet()
+	for _, i := range result.All() {
+		m.set.NewCounter(refusalName(i.Code))
+	}
+	for _, r := range dispatch.RetryReasons() {
+		m.set.NewCounter(retryName(r))
+	}
+	m.set.NewGauge("jasminewing_waiting_requests", func() float64 { return float64(g.room.Waiting()) })
+	m.set.NewGauge("jasminewing_table_revision", func() float64 {
+		if t := g.Fleet.View().Table; t != nil {
+			return float64(t.Revision)
+		}
+		return 0
+	})
+	m.set.NewGauge("jasminewing_table_age_seconds", func() float64 {
+		return time.Since(g.Fleet.View().ConfirmedAt).Seconds()
+	})
+}
+
+func refusalName(c result.Code) string {
+	return fmt.Sprintf("jasminewing_results_total{code=%q,name=%q}", fmt.Sprint(int(c)), c)
+}
+
+func retryName(r dispatch.RetryReason) string {
+	return fmt.Sprintf("jasminewing_retries_total{reason=%q}", string(r))
+}
+
+func (m *metricSet) refusal(c result.Code) { m.set.GetOrCreateCounter(refusalName(c)).Inc() }
+
+func (m *metricSet) retry(r dispatch.RetryReason) { m.set.GetOrCreateCounter(retryName(r)).Inc() }
+
+func (m *metricSet) gap(c *call) func(time.Duration) {
+	h := m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_token_gap_seconds{class=%q}", c.class.Name))
+	return func(d time.Duration) { h.Update(d.Seconds()) }
+}
+
+// finished counts a request under its code, and under its class whether it met
+// its target.
+func (m *metricSet) finished(c *call, a *answer, f dispatch.Finish) {
+	m.refusal(f.Code)
+	if !a.firstByte.IsZero() {
+		first := a.firstByte.Sub(a.arrived)
+		m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_first_token_seconds{class=%q}", c.class.Name)).Update(first.Seconds())
+	}
+	met := "no"
+	if f.Code == result.OK && a.firstByte.Sub(a.arrived) <= c.class.FirstToken {
+		met = "yes"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_requests_total{class=%q,met=%q}", c.class.Name, met)).Inc()
+}
+
+// WriteMetrics writes the metrics in the Prometheus text format.
+func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// silenceInterval is how often the sidecars of a request are checked for silence.
+const silenceInterval = 250 * time.Millisecond
+
+// arrival is a message from an attempt's stream, with what it carries.
+type arrival struct {
+	message dispatch.Message
+	headers []*wire.Header
+	data    []byte
+	detail  string
+	tokens  table.Tokens
+}
+
+// run is the task of one request. It owns the dispatch core and the answer.
+type run struct {
+	gateway  *Gateway
+	call     *call
+	offer    *wire.Offer
+	answer   *answer
+	attempts dispatch.Attempts
+	place    *dispatch.Place
+	trace    *trace
+	inbox    chan arrival
+	streams  map[dispatch.AttemptNumber]*stream
+	solo     bool
+	tokens   table.Tokens
+	finish   dispatch.Finish
+	// wake is when the core wants a Ticked.
+	wake time.Time
+	// last is the arrival that the core is being told of.
+	last arrival
+}
+
+// execute carries a call to its end and gives the tokens of its answer.
+func (g *Gateway) execute(ctx context.Context, c *call, a *answer) (dispatch.Finish, table.Tokens) {
+	r := &run{
+		gateway: g,
+		call:    c,
+		offer:   c.offer(string(g.Name)),
+		answer:  a,
+		trace:   g.traces.begin(c),
+		inbox:   make(chan arrival),
+		streams: make(map[dispatch.AttemptNumber]*stream),
+	}
+	defer g.traces.end(r.trace)
+	if f, refused := r.judge(); refused {
+		return f, 0
+	}
+	r.place = g.room.Enter(c.class.Tier)
+	if r.place == nil {
+		return r.refuse(result.QueueFull, "gateway queue is full", time.Second), 0
+	}
+	defer g.room.Leave(r.place)
+	r.prepare()
+	r.loop(ctx)
+	return r.finish, r.tokens
+}
+
+func (r *run) judge() (dispatch.Finish, bool) {
+	if r.gateway.Suspects == nil {
+		return dispatch.Finish{}, false
+	}
+	solo, err := r.gateway.Suspects.Judge(time.Now(), r.offer)
+	if err != nil {
+		return r.refuse(result.CodeOf(err), err.Error(), result.RetryAfterOf(err)), true
+	}
+	r.solo = solo
+	return dispatch.Finish{}, false
+}
+
+func (r *run) refuse(code result.Code, detail string, after time.Duration) dispatch.Finish {
+	r.answer.detail = detail
+	r.trace.step("refused", "", code)
+	return dispatch.Finish{Code: code, NotRun: code.Info().NotRun && !r.call.keyed(), RetryAfter: after}
+}
+
+func (r *run) prepare() {
+	r.gateway.budget.Earn()
+	r.attempts = dispatch.Attempts{
+		Request: dispatch.Request{
+			ID:       r.call.id,
+			Class:    r.call.class,
+			Arrived:  r.call.arrived,
+			Deadline: r.call.arrived.Add(r.call.class.Deadline),
+			Streamed: r.call.streamed,
+			Keyed:    r.call.keyed(),
+		},
+		Pick:   r.pick,
+		Budget: &r.gateway.budget,
+	}
+}
+
+// pick gives the next candidate. A key has one home and a suspect one place;
+// all else goes where the load is least.
+func (r *run) pick(now time.Time, tried map[dispatch.Candidate]bool) (dispatch.Candidate, bool) {
+	if r.call.keyed() && r.gateway.Homes != nil {
+		return r.pickVM(tried, func(vms []fleet.VM) (fleet.VM, bool) { return r.gateway.Homes.Home(r.offer, vms) })
+	}
+	if r.solo {
+		return r.pickVM(tried, func(vms []fleet.VM) (fleet.VM, bool) { return r.gateway.Suspects.Place(r.offer, vms) })
+	}
+	return r.gateway.pool.Pick(now, r.call.class.Kind, r.call.service(), tried)
+}
+
+func (r *run) pickVM(tried map[dispatch.Candidate]bool, choose func([]fleet.VM) (fleet.VM, bool)) (dispatch.Candidate, bool) {
+	v := r.gateway.Fleet.View()
+	vm, ok := choose(v.Serving(r.call.class.Kind, r.call.service()))
+	if !ok {
+		return dispatch.Candidate{}, false
+	}
+	c := dispatch.Candidate{VM: vm.Name, Upstream: vm.Upstream, Address: vm.Address}
+	return c, !tried[c]
+}
+
+func (r *run) loop(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(silenceInterval)
+	defer timer.Stop()
+	evicted := r.place.Evicted
+	r.tell(ctx, arrival{message: dispatch.Started{}})
+	for !r.attempts.Done() {
+		timer.Reset(min(time.Until(r.wake), silenceInterval))
+		select {
+		case a := <-r.inbox:
+			r.tell(ctx, a)
+		case <-timer.C:
+			r.noteSilence(ctx)
+			if !time.Now().Before(r.wake) {
+				r.tell(ctx, arrival{message: dispatch.Ticked{}})
+			}
+		case <-evicted:
+			evicted = nil
+			r.tell(ctx, arrival{message: dispatch.Evicted{}})
+		case <-ctx.Done():
+			r.tell(ctx, arrival{message: dispatch.CallerGone{}})
+		}
+	}
+}
+
+// noteSilence tells the core of sidecars that send no heartbeat.
+func (r *run) noteSilence(ctx context.Context) {
+	now := time.Now()
+	for n, s := range r.streams {
+		if r.gateway.pool.Silent(now, s.candidate) {
+			r.tell(ctx, arrival{message: dispatch.Silent{Attempt: n}})
+		}
+	}
+}
+
+// tell hands a message to the core and carries out its effects.
+func (r *run) tell(ctx context.Context, a arrival) {
+	r.last = a
+	for _, e := range r.attempts.Handle(time.Now(), a.message) {
+		r.carryOut(ctx, e)
+	}
+}
+
+func (r *run) carryOut(ctx context.Context, e dispatch.Effect) {
+	switch e := e.(type) {
+	case dispatch.WakeAt:
+		r.wake = e.Time
+	case dispatch.Offer:
+		r.open(ctx, e)
+	case dispatch.SendBody:
+		r.sendBody(e.Attempt)
+	case dispatch.Withdraw:
+		r.close(e.Attempt)
+	case dispatch.GiveHead:
+		r.answer.takeHead(e.Status, r.last.headers)
+	case dispatch.GiveChunk:
+		r.giveChunk()
+	case dispatch.Discard:
+		r.answer.discard()
+	case dispatch.Counted:
+		r.gateway.metrics.retry(e.Reason)
+		r.trace.step(string(e.Reason), "", result.OK)
+	case dispatch.Finish:
+		r.conclude(e)
+	}
+}
+
+func (r *run) open(ctx context.Context, e dispatch.Offer) {
+	r.trace.step("offer", e.Candidate.VM, result.OK)
+	offer := r.offerFor(e)
+	s := &stream{
+		candidate: e.Candidate,
+		number:    e.Attempt,
+		offer:     offer,
+		inbox:     r.inbox,
+		client:    wire.NewDRPCWorkClient(r.gateway.Dialer.To(string(e.Candidate.Address))),
+	}
+	r.streams[e.Attempt] = s
+	r.gateway.pool.Begin(e.Candidate)
+	s.start(ctx, func() { r.gateway.pool.End(e.Candidate) })
+}
+
+func (r *run) offerFor(e dispatch.Offer) *wire.Offer {
+	o := wire.Offer{
+		RequestId: r.offer.RequestId, Account: r.offer.Account, Class: r.offer.Class, Tier: r.offer.Tier,
+		CostTokens: r.offer.CostTokens, TableRevision: r.offer.TableRevision, Fingerprint: r.offer.Fingerprint,
+		Key: r.offer.Key, BodyHash: r.offer.BodyHash, Idempotent: r.offer.Idempotent, Method: r.offer.Method,
+		Path: r.offer.Path, Headers: r.offer.Headers, BodyBytes: r.offer.BodyBytes, Streamed: r.offer.Streamed,
+		Gateway: r.offer.Gateway, Model: r.offer.Model,
+	}
+	o.Attempt = uint32(e.Attempt)
+	o.ResumeOffset = uint32(e.ResumeOffset)
+	o.TimeLeftUs = uint64(max(time.Until(r.attempts.Request.Deadline), 0).Microseconds())
+	o.WaitedUs = uint64(time.Since(r.call.arrived).Microseconds())
+	v := r.gateway.Fleet.View()
+	o.VmListVersion = uint64(v.VMs.Version)
+	if v.Table != nil {
+		o.TableRevision = uint64(v.Table.Revision)
+	}
+	return &o
+}
+
+func (r *run) sendBody(n dispatch.AttemptNumber) {
+	s := r.streams[n]
+	if s == nil {
+		return
+	}
+	r.trace.step("granted", s.candidate.VM, result.OK)
+	r.gateway.room.Leave(r.place)
+	go s.sendBody(r.call.body)
+}
+
+func (r *run) close(n dispatch.AttemptNumber) {
+	if s := r.streams[n]; s != nil {
+		s.cancel()
+		delete(r.streams, n)
+	}
+}
+
+func (r *run) giveChunk() {
+	if m, ok := r.last.message.(dispatch.ChunkCame); ok {
+		r.tokens += m.Tokens
+	}
+	r.answer.takeData(r.last.data)
+}
+
+func (r *run) conclude(f dispatch.Finish) {
+	r.finish = f
+	r.tokens = max(r.tokens, r.last.tokens)
+	r.answer.detail = r.last.detail
+	r.trace.step("finished", "", f.Code)
+}
--- /dev/null
+++ b/internal/gateway/trace.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	// keptTraces is how many recent requests are kept.
+	keptTraces = 4096
+	// maxTraceSteps bounds the steps of one request.
+	maxTraceSteps = 32
+)
+
+// TraceStep is something that happened to a request.
+type TraceStep struct {
+	// AfterMillis is the time since the request arrived, in milliseconds.
+	AfterMillis float64      `json:"after_ms"`
+	What        string       `json:"what"`
+	VM          fleet.VMName `json:"vm,omitempty"`
+	Code        result.Code  `json:"code,omitempty"`
+}
+
+// Trace is the path of one request through the gateway.
+type Trace struct {
+	RequestID dispatch.RequestID `json:"request_id"`
+	Account   table.AccountName  `json:"account"`
+	Class     table.ClassName    `json:"class"`
+	Arrived   time.Time          `json:"arrived"`
+	Ended     bool               `json:"ended"`
+	Steps     []TraceStep        `json:"steps"`
+}
+
+type trace struct {
+	mu sync.Mutex
+	Trace
+}
+
+func (t *trace) step(what string, vm fleet.VMName, code result.Code) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.Steps) >= maxTraceSteps {
+		return
+	}
+	after := float64(time.Since(t.Arrived).Microseconds()) / 1000
+	t.Steps = append(t.Steps, TraceStep{AfterMillis: after, What: what, VM: vm, Code: code})
+}
+
+// traces keeps the most recent requests.
+type traces struct {
+	mu   sync.Mutex
+	ring [keptTraces]*trace
+	next int
+	byID map[dispatch.RequestID]*trace
+}
+
+func (t *traces) begin(c *call) *trace {
+	fresh := &trace{Trace: Trace{RequestID: c.id, Account: c.account.Name, Class: c.class.Name, Arrived: c.arrived}}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byID == nil {
+		t.byID = make(map[dispatch.RequestID]*trace)
+	}
+	if old := t.ring[t.next]; old != nil {
+		delete(t.byID, old.RequestID)
+	}
+	t.ring[t.next] = fresh
+	t.byID[c.id] = fresh
+	t.next = (t.next + 1) % keptTraces
+	return fresh
+}
+
+func (t *traces) end(tr *trace) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.Ended = true
+}
+
+// Trace gives the path of a recent request; false if it is not kept.
+func (g *Gateway) Trace(id dispatch.RequestID) (Trace, bool) {
+	g.traces.mu.Lock()
+	t := g.traces.byID[id]
+	g.traces.mu.Unlock()
+	if t == nil {
+		return Trace{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := t.Trace
+	kept.Steps = append([]TraceStep(nil), t.Steps...)
+	return kept, true
+}
--- /dev/null
+++ b/internal/sidecar/answer.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Head passes the head of the upstream's answer on.
+func (a *attempt) Head(status int, h http.Header) error {
+	headers := headersOf(h)
+	if a.answer != nil {
+		a.answer.Status = uint32(status)
+		a.answer.Headers = headers
+	}
+	return a.ignoreIfKept(a.sendHead(status, headers))
+}
+
+// Data passes a part of the upstream's answer on.
+func (a *attempt) Data(p []byte, n table.Tokens) error {
+	a.noteFirstToken()
+	if a.answer != nil {
+		a.answer.Body = append(a.answer.Body, p...)
+	}
+	return a.ignoreIfKept(a.sendData(p, n))
+}
+
+func (a *attempt) noteFirstToken() {
+	if a.firstToken {
+		return
+	}
+	a.firstToken = true
+	a.sidecar.admitter.tellCore(admission.FirstTokenCame{ID: a.id, After: time.Since(a.forwarded)})
+}
+
+// ignoreIfKept lets an answer that is being recorded run to its end when the
+// gateway no longer listens.
+func (a *attempt) ignoreIfKept(err error) error {
+	if a.class.Idempotent {
+		return err
+	}
+	return nil
+}
+
+func (a *attempt) sendHead(status int, headers []*wire.Header) error {
+	a.begun = true
+	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_Head{Head: &wire.Head{
+		Status: uint32(status), Headers: headers,
+	}}})
+}
+
+func (a *attempt) sendData(p []byte, n table.Tokens) error {
+	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_Chunk{Chunk: &wire.Chunk{
+		RequestId: a.offer.RequestId, Attempt: a.offer.Attempt, Data: p, Tokens: uint32(n),
+	}}})
+}
+
+func headerOf(headers []*wire.Header) http.Header {
+	h := make(http.Header, len(headers))
+	for _, kv := range headers {
+		h.Add(kv.Name, kv.Value)
+	}
+	return h
+}
+
+func headersOf(h http.Header) []*wire.Header {
+	names := make([]string, 0, len(h))
+	for n := range h {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	var headers []*wire.Header
+	for _, n := range names {
+		for _, v := range h[n] {
+			headers = append(headers, &wire.Header{Name: n, Value: v})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/internal/sidecar/health.go
@@ -0,0 +1,149 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// followHealth asks the upstream for its health and tells the core of changes.
+func (s *Sidecar) followHealth(ctx context.Context) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	misses := 0
+	for {
+		h, err := s.askHealth(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			misses++
+		} else {
+			misses = 0
+		}
+		if err == nil || misses >= healthMisses {
+			s.noteHealth(h, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Sidecar) askHealth(ctx context.Context) (engine.Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	return s.Upstream.Health(ctx)
+}
+
+func (s *Sidecar) noteHealth(h engine.Health, err error) {
+	s.healthMu.Lock()
+	was, wasUp := s.health, s.up
+	up := err == nil && h.Up && !h.Draining
+	restarted := err == nil && was.Instance != "" && h.Instance != was.Instance
+	s.up = up
+	if err == nil {
+		s.health = h
+	}
+	downAt := s.downAt
+	if wasUp && !up {
+		s.downAt = time.Now()
+	}
+	s.healthMu.Unlock()
+
+	if up == wasUp && !restarted {
+		return
+	}
+	s.admitter.tellCore(admission.HealthChanged{Up: up, Restarted: restarted})
+	if restarted {
+		s.noteDeath(was.Instance)
+	}
+	s.logHealth(up, downAt, err)
+}
+
+func (s *Sidecar) logHealth(up bool, downAt time.Time, err error) {
+	if up {
+		s.Log.WriteThrottled(event.UpstreamBack, string(s.UpstreamName), "down_since", downAt.Format(time.RFC3339))
+		return
+	}
+	s.Log.WriteThrottled(event.UpstreamDown, string(s.UpstreamName),
+		"since", time.Now().Format(time.RFC3339), "error", err, "fleet", "sends it no work, others take over")
+}
+
+func (s *Sidecar) instance() string {
+	s.healthMu.Lock()
+	defer s.healthMu.Unlock()
+	return s.health.Instance
+}
+
+// noteOutcome learns from how a run ended.
+func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome) {
+	switch {
+	case outcome.Died:
+		s.noteDeath(s.instance())
+	case outcome.Complete && s.Suspects != nil:
+		s.Suspects.Clean(time.Now(), o)
+	}
+}
+
+// noteDeath makes all that is in flight suspect, once for each instance of the
+// upstream.
+func (s *Sidecar) noteDeath(instance string) {
+	inFlight := s.flights.died(instance)
+	if len(inFlight) == 0 || s.Suspects == nil {
+		return
+	}
+	s.Log.WriteThrottled(event.RequestSuspect, string(s.UpstreamName), "in_flight", len(inFlight))
+	s.Suspects.Died(time.Now(), string(s.UpstreamName)+"/"+instance, inFlight)
+}
+
+func (s *Sidecar) suspicion(o *wire.Offer) (solo bool, err error) {
+	if s.Suspects == nil {
+		return false, nil
+	}
+	return s.Suspects.Judge(time.Now(), o)
+}
+
+// flights holds the requests that the upstream runs.
+type flights struct {
+	mu     sync.Mutex
+	offers map[*wire.Offer]bool
+	dead   string
+}
+
+func (f *flights) begin(o *wire.Offer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.offers == nil {
+		f.offers = make(map[*wire.Offer]bool)
+	}
+	f.offers[o] = true
+}
+
+func (f *flights) end(o *wire.Offer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.offers, o)
+}
+
+// died gives what was in flight at the first sign of an instance's death.
+func (f *flights) died(instance string) []*wire.Offer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead == instance {
+		return nil
+	}
+	f.dead = instance
+	var all []*wire.Offer
+	for o := range f.offers {
+		all = append(all, o)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/sidecar/reports.go
@@ -0,0 +1,97 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+)
+
+// reportInterval is how often a report is sent when nothing changes; it is
+// the heartbeat by which gateways know that the sidecar runs.
+const reportInterval = 400 * time.Millisecond
+
+// reports holds the current state and wakes those who watch it.
+type reports struct {
+	mu       sync.Mutex
+	state    admission.State
+	watchers map[chan struct{}]bool
+}
+
+func (r *reports) set(s admission.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = s
+	for c := range r.watchers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *reports) get() admission.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// watch gives a channel that is told of changes, and what ends it.
+func (r *reports) watch() (<-chan struct{}, func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watchers == nil {
+		r.watchers = make(map[chan struct{}]bool)
+	}
+	c := make(chan struct{}, 1)
+	r.watchers[c] = true
+	return c, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.watchers, c)
+	}
+}
+
+// Watch sends a report at once, on each change and at a steady interval.
+func (w *Work) Watch(r *wire.WatchRequest, stream wire.DRPCWork_WatchStream) error {
+	s := w.Sidecar
+	s.Fleet.Behind(table.Revision(r.TableRevision), fleet.ListVersion(r.VmListVersion), "")
+	changed, stop := s.reports.watch()
+	defer stop()
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		if err := stream.Send(s.report()); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+func (s *Sidecar) report() *wire.Report {
+	st := s.reports.get()
+	v := s.Fleet.View()
+	r := &wire.Report{
+		Upstream:      string(s.UpstreamName),
+		Incarnation:   string(s.Incarnation),
+		RefusingCode:  uint32(st.Refusing),
+		Limit:         uint32(st.Limit),
+		InFlight:      uint32(st.InFlight),
+		Parked:        uint32(st.Parked),
+		Cold:          st.Cold,
+		VmListVersion: uint64(v.VMs.Version),
+	}
+	if v.Table != nil {
+		r.TableRevision = uint64(v.Table.Revision)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,261 @@
+// Package sidecar is the process beside one upstream: the only door to it.
+//
+// The admission core decides what runs; this package puts sockets and tasks
+// round it. Every request passes here, so what must hold for an upstream is
+// decided in one place.
+//
+// # Usage
+//
+//	s := &sidecar.Sidecar{UpstreamName: "draft_a", Fleet: f, Upstream: client, ...}
+//	err := s.Run(ctx, drain)
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	healthInterval = 250 * time.Millisecond
+	healthTimeout  = 2 * time.Second
+	// healthMisses is how many answers in a row must be missing before the
+	// upstream counts as down.
+	healthMisses = 2
+	renewTimeout = 500 * time.Millisecond
+	// drainSettle is how long a draining sidecar still answers offers that
+	// were under way when it began to leave.
+	drainSettle = 500 * time.Millisecond
+)
+
+// Fleet is what the sidecar needs of the fleet's view.
+type Fleet interface {
+	View() *fleet.View
+	Subscribe() (<-chan struct{}, func())
+	Behind(r table.Revision, v fleet.ListVersion, from fleet.Address)
+	Renew(ctx context.Context) error
+}
+
+// Upstream is what the sidecar needs of its upstream.
+type Upstream interface {
+	Do(ctx context.Context, r engine.Request, s engine.Sink) engine.Outcome
+	Health(ctx context.Context) (engine.Health, error)
+}
+
+// Keys decides whether a request with an idempotency key may run.
+type Keys interface {
+	// Check refuses an offer whose key has its home elsewhere.
+	Check(o *wire.Offer) error
+	// Begin claims the key. It gives the recorded answer of an earlier run,
+	// nil if the request is to be run now, or an error if it must not run.
+	Begin(ctx context.Context, o *wire.Offer) (*wire.StoredAnswer, error)
+	// Finish records how the run ended.
+	Finish(o *wire.Offer, outcome engine.Outcome, answer *wire.StoredAnswer)
+	// Drain makes new keys go to the next home.
+	Drain()
+}
+
+// Suspects knows requests that are suspected of ending upstreams.
+type Suspects interface {
+	// Judge says whether a request must run alone, or not at all.
+	Judge(now time.Time, o *wire.Offer) (solo bool, err error)
+	// Died tells of the requests in flight when an upstream ended.
+	Died(now time.Time, incarnation string, inFlight []*wire.Offer)
+	// Clean tells of a request that ran alone to its end.
+	Clean(now time.Time, o *wire.Offer)
+}
+
+// Sidecar is one run of the process. Its exported fields are set before Run.
+type Sidecar struct {
+	UpstreamName table.UpstreamName
+	VM           fleet.VMName
+	Incarnation  fleet.Incarnation
+	Fleet        Fleet
+	Upstream     Upstream
+	Keys         Keys
+	Suspects     Suspects
+	Log          *event.Log
+	MaxBody      int64
+	MaxParked    int
+
+	admitter admitter
+	reports  reports
+	flights  flights
+	attempts sync.WaitGroup
+	started  time.Time
+
+	healthMu sync.Mutex
+	health   engine.Health
+	up       bool
+	downAt   time.Time
+}
+
+// Init makes the sidecar ready to serve Work; it must come before the listener
+// serves.
+func (s *Sidecar) Init() {
+	s.started = time.Now()
+	s.admitter.Core = admission.Core{MaxParked: s.MaxParked}
+	s.admitter.Report = s.reports.set
+	s.admitter.Renew = s.renewAfterPause
+	s.admitter.init()
+}
+
+// Run works until ctx ends. When drain closes it takes no new work, lets what
+// runs end, and returns.
+func (s *Sidecar) Run(ctx context.Context, drain <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.admitter.Run(ctx) })
+	g.Go(func() error { return s.followFleet(ctx) })
+	g.Go(func() error { return s.followHealth(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		s.awaitDrain(ctx, drain)
+		return nil
+	})
+	return g.Wait()
+}
+
+func (s *Sidecar) awaitDrain(ctx context.Context, drain <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-drain:
+	}
+	s.Log.Write(event.UpstreamLeaves, "upstream", s.UpstreamName, "reason", "stop_signal")
+	s.admitter.tellCore(admission.LeaveAsked{})
+	if s.Keys != nil {
+		s.Keys.Drain()
+	}
+	settle := time.NewTimer(drainSettle)
+	defer settle.Stop()
+	select {
+	case <-settle.C:
+	case <-ctx.Done():
+		return
+	}
+	s.awaitAttempts(ctx)
+}
+
+func (s *Sidecar) awaitAttempts(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		s.attempts.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Sidecar) renewAfterPause(ctx context.Context) {
+	s.Log.Write(event.PauseNoticed, "upstream", s.UpstreamName)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	_ = s.Fleet.Renew(ctx)
+	s.configure()
+}
+
+// followFleet tells the core of each change of its row, its data centre and
+// its VM's state.
+func (s *Sidecar) followFleet(ctx context.Context) error {
+	changed, stop := s.Fleet.Subscribe()
+	defer stop()
+	for {
+		for _, m := range s.configuration() {
+			s.admitter.tellCore(m)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// configure is called by the admitter itself, which cannot send to itself.
+func (s *Sidecar) configure() {
+	for _, m := range s.configuration() {
+		s.admitter.take(letter{message: m})
+	}
+}
+
+func (s *Sidecar) configuration() []admission.Message {
+	v := s.Fleet.View()
+	if v.Table == nil {
+		return nil
+	}
+	row, ok := v.Table.Upstreams[s.UpstreamName]
+	if !ok {
+		row.Name, row.State = s.UpstreamName, table.Out
+	}
+	dc, ok := v.Table.DataCentres[row.DataCentre]
+	messages := []admission.Message{admission.Configured{
+		Upstream:      row,
+		DataCentreOut: ok && dc.State == table.Out,
+	}}
+	if s.leaving(v) {
+		messages = append(messages, admission.LeaveAsked{})
+	}
+	return messages
+}
+
+func (s *Sidecar) leaving(v *fleet.View) bool {
+	for _, vm := range v.VMs.VMs {
+		if vm.Name == s.VM {
+			return vm.State == fleet.Leaving
+		}
+	}
+	return false
+}
+
+// serves says whether the upstream serves a class's service or a model.
+func (s *Sidecar) serves(t *table.Table, c table.Class, model table.ServiceName) bool {
+	want := model
+	if c.Kind == table.Plain {
+		want = c.Service
+	}
+	row, ok := t.Upstreams[s.UpstreamName]
+	if !ok || row.Kind != c.Kind {
+		return false
+	}
+	for _, served := range row.Serves {
+		if served == want {
+			return true
+		}
+	}
+	return false
+}
+
+// Ready says whether the sidecar may be offered work.
+func (s *Sidecar) Ready() result.Code {
+	if !s.Fleet.View().Ready {
+		return result.NotReady
+	}
+	return s.reports.get().Refusing
+}
+
+// State gives what the core reports.
+func (s *Sidecar) State() admission.State { return s.reports.get() }
+
+// ServeReady answers a health check.
+func (s *Sidecar) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if code := s.Ready(); code != result.OK {
+		http.Error(w, code.String(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
--- /dev/null
+++ b/internal/sidecar/work.go
@@ -0,0 +1,335 @@
+package sidecar
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// finishGrace is how long an answer may run past its request's deadline
+// before the upstream is given up, so that an end just late is not lost.
+const finishGrace = time.Second
+
+// attempt is one stream of Work.Run.
+type attempt struct {
+	sidecar *Sidecar
+	stream  wire.DRPCWork_RunStream
+	offer   *wire.Offer
+	class   table.Class
+	// deadline is when the caller no longer wants the answer.
+	deadline time.Time
+	id       admission.OfferID
+	effects  <-chan admission.Effect
+	body     []byte
+	// answer is what a key's record keeps; nil without a key.
+	answer *wire.StoredAnswer
+	begun  bool
+	// forwarded is when the upstream was given the request.
+	forwarded  time.Time
+	firstToken bool
+}
+
+// Work is what the sidecar serves to gateways.
+type Work struct{ Sidecar *Sidecar }
+
+// Run carries one attempt of one request.
+func (w *Work) Run(stream wire.DRPCWork_RunStream) error {
+	s := w.Sidecar
+	s.attempts.Add(1)
+	defer s.attempts.Done()
+	first, err := stream.Recv()
+	if err != nil {
+		return fmt.Errorf("receive offer: %w", err)
+	}
+	offer := first.GetOffer()
+	if offer == nil {
+		return result.Errorf(result.BadMessage, "first message is not an offer")
+	}
+	a := &attempt{sidecar: s, stream: stream, offer: offer}
+	if err := a.run(stream.Context()); err != nil {
+		return a.refuse(err)
+	}
+	return nil
+}
+
+// run gives an error with a code for an attempt that was not run.
+func (a *attempt) run(ctx context.Context) error {
+	if err := a.check(); err != nil {
+		return err
+	}
+	solo, err := a.sidecar.suspicion(a.offer)
+	if err != nil {
+		return err
+	}
+	a.submit(solo)
+	granted, err := a.awaitGrant(ctx)
+	if err != nil || !granted {
+		return err
+	}
+	if err := a.awaitBody(ctx); err != nil {
+		a.sidecar.admitter.tellCore(admission.Withdrawn{ID: a.id})
+		return err
+	}
+	if !a.sidecar.admitter.bodyCame(a.id) {
+		return a.refusedWithBody()
+	}
+	return a.execute(ctx)
+}
+
+func (a *attempt) check() error {
+	s := a.sidecar
+	v := s.Fleet.View()
+	if !v.Ready || v.Table == nil {
+		return result.Errorf(result.NotReady, "no table yet")
+	}
+	s.Fleet.Behind(table.Revision(a.offer.TableRevision), fleet.ListVersion(a.offer.VmListVersion), "")
+	class, ok := v.Table.Classes[table.ClassName(a.offer.Class)]
+	if !ok {
+		return result.Errorf(result.StaleTable, "class %q is not in revision %d", a.offer.Class, v.Table.Revision)
+	}
+	a.class = class
+	if a.offer.BodyBytes > uint64(s.MaxBody) {
+		return result.Errorf(result.BodyTooLarge, "%d bytes, at most %d", a.offer.BodyBytes, s.MaxBody)
+	}
+	a.deadline = time.Now().Add(time.Duration(a.offer.TimeLeftUs) * time.Microsecond)
+	if !s.serves(v.Table, class, table.ServiceName(a.offer.Model)) {
+		return result.Errorf(result.WrongUpstream, "upstream %q does not serve class %q model %q", s.UpstreamName, class.Name, a.offer.Model)
+	}
+	return a.checkHome()
+}
+
+func (a *attempt) checkHome() error {
+	if !a.keyed() {
+		return nil
+	}
+	return a.sidecar.Keys.Check(a.offer)
+}
+
+// keyed holds where an idempotency key decides whether the request runs.
+func (a *attempt) keyed() bool { return a.offer.Key != "" && !a.class.Idempotent }
+
+func (a *attempt) submit(solo bool) {
+	weight := table.Weight(1)
+	if row, ok := a.sidecar.Fleet.View().Table.Accounts[table.AccountName(a.offer.Account)]; ok {
+		weight = row.Weight
+	}
+	a.id, a.effects = a.sidecar.admitter.offer(admission.Offered{
+		Account:  table.AccountName(a.offer.Account),
+		Class:    a.class,
+		Weight:   weight,
+		Deadline: a.deadline,
+		Arrived:  time.Now().Add(-time.Duration(a.offer.WaitedUs) * time.Microsecond),
+		Cost:     table.Tokens(a.offer.CostTokens),
+		Solo:     solo,
+	})
+}
+
+// awaitGrant gives false when the gateway withdrew.
+func (a *attempt) awaitGrant(ctx context.Context) (bool, error) {
+	for {
+		select {
+		case <-ctx.Done():
+			a.sidecar.admitter.tellCore(admission.Withdrawn{ID: a.id})
+			return false, nil
+		case e := <-a.effects:
+			switch e := e.(type) {
+			case admission.Park:
+				if err := a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_Parked{Parked: &wire.Parked{}}}); err != nil {
+					a.sidecar.admitter.tellCore(admission.Withdrawn{ID: a.id})
+					return false, nil
+				}
+			case admission.Grant:
+				err := a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_Granted{Granted: &wire.Granted{}}})
+				if err != nil {
+					a.sidecar.admitter.tellCore(admission.Withdrawn{ID: a.id})
+				}
+				return err == nil, nil
+			case admission.Refuse:
+				return false, a.refusalOf(e)
+			}
+		case <-a.sidecar.admitter.ended:
+			return false, result.Errorf(result.Stopping, "sidecar has stopped")
+		}
+	}
+}
+
+// refusedWithBody gives the refusal that met the body on its way.
+func (a *attempt) refusedWithBody() error {
+	select {
+	case e := <-a.effects:
+		if refusal, ok := e.(admission.Refuse); ok {
+			return a.refusalOf(refusal)
+		}
+	default:
+	}
+	return a.refusalOf(admission.Refuse{Code: result.GrantLapsed})
+}
+
+func (a *attempt) refusalOf(e admission.Refuse) error {
+	err := result.Errorf(e.Code, "upstream %q", a.sidecar.UpstreamName)
+	err.RetryAfter = e.RetryAfter
+	return err
+}
+
+// awaitBody receives the body that follows a grant. A refusal meanwhile, such
+// as a lapsed grant, ends it.
+func (a *attempt) awaitBody(ctx context.Context) error {
+	received := make(chan error, 1)
+	go func() { received <- a.receiveBody() }()
+	select {
+	case err := <-received:
+		return err
+	case e := <-a.effects:
+		refusal, ok := e.(admission.Refuse)
+		if !ok {
+			return result.Errorf(result.Internal, "unexpected effect %T", e)
+		}
+		return a.refusalOf(refusal)
+	case <-ctx.Done():
+		return result.Errorf(result.CallerGone, "withdrawn after the grant")
+	}
+}
+
+func (a *attempt) receiveBody() error {
+	body := make([]byte, 0, a.offer.BodyBytes)
+	for {
+		m, err := a.stream.Recv()
+		if err != nil {
+			return result.Errorf(result.BadBody, "receive body: %w", err)
+		}
+		part := m.GetBody()
+		if part == nil {
+			return result.Errorf(result.BadMessage, "message is not a body")
+		}
+		if uint64(len(body)+len(part.Data)) > a.offer.BodyBytes {
+			return result.Errorf(result.BadMessage, "body is longer than offered")
+		}
+		body = append(body, part.Data...)
+		if part.Last {
+			break
+		}
+	}
+	if uint64(len(body)) != a.offer.BodyBytes {
+		return result.Errorf(result.BadMessage, "body has %d bytes, %d were offered", len(body), a.offer.BodyBytes)
+	}
+	if h := sha256.Sum256(body); a.keyed() && string(h[:]) != string(a.offer.BodyHash) {
+		return result.Errorf(result.BadMessage, "body does not match its hash")
+	}
+	a.body = body
+	return nil
+}
+
+// execute runs the request; from here on a slot of the upstream is held.
+func (a *attempt) execute(ctx context.Context) error {
+	finished := admission.Finished{ID: a.id, Cancelled: true}
+	defer func() { a.sidecar.admitter.tellCore(finished) }()
+	if !time.Now().Before(a.deadline) {
+		return result.Errorf(result.DeadlinePassed, "deadline passed before the request was forwarded")
+	}
+	if a.keyed() {
+		answer, err := a.sidecar.Keys.Begin(ctx, a.offer)
+		if err != nil {
+			return err
+		}
+		if answer != nil {
+			return a.replay(answer)
+		}
+		a.answer = &wire.StoredAnswer{}
+	}
+	a.sidecar.flights.begin(a.offer)
+	defer a.sidecar.flights.end(a.offer)
+	a.forwarded = time.Now()
+	outcome := a.forward(ctx)
+	finished = a.finishedWith(ctx, outcome)
+	return a.conclude(outcome)
+}
+
+func (a *attempt) forward(ctx context.Context) engine.Outcome {
+	if a.class.Idempotent {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, a.deadline.Add(finishGrace))
+		defer cancel()
+	} else {
+		// Once forwarded, a request that must not repeat runs to its end even
+		// if its caller is gone: its record is then worth more than its answer.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), a.deadline.Add(finishGrace))
+		defer cancel()
+	}
+	return a.sidecar.Upstream.Do(ctx, engine.Request{
+		Method:       a.offer.Method,
+		Path:         a.offer.Path,
+		Header:       headerOf(a.offer.Headers),
+		Body:         a.body,
+		RequestID:    a.offer.RequestId,
+		Idempotent:   a.class.Idempotent,
+		Streamed:     a.offer.Streamed,
+		ResumeOffset: table.Tokens(a.offer.ResumeOffset),
+	}, a)
+}
+
+func (a *attempt) finishedWith(ctx context.Context, o engine.Outcome) admission.Finished {
+	return admission.Finished{
+		ID:        a.id,
+		Clean:     o.Complete,
+		Tokens:    o.Tokens,
+		TokenGap:  o.TokenGap,
+		Cancelled: ctx.Err() != nil && !o.Complete,
+	}
+}
+
+// conclude tells gateway and records how the run ended.
+func (a *attempt) conclude(o engine.Outcome) error {
+	a.sidecar.noteOutcome(a.offer, o)
+	if a.answer != nil {
+		a.answer.Complete = o.Complete
+		a.sidecar.Keys.Finish(a.offer, o, a.answer)
+	}
+	if o.NotRun && !a.begun {
+		return result.Errorf(o.Code, "%s", o.Detail)
+	}
+	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_End{End: &wire.End{
+		RequestId: a.offer.RequestId,
+		Attempt:   a.offer.Attempt,
+		Complete:  o.Complete,
+		Code:      uint32(o.Code),
+		Detail:    o.Detail,
+		Tokens:    uint32(o.Tokens),
+	}}})
+}
+
+// replay gives the recorded answer of a key.
+func (a *attempt) replay(answer *wire.StoredAnswer) error {
+	if err := a.sendHead(int(answer.Status), answer.Headers); err != nil {
+		return err
+	}
+	if err := a.sendData(answer.Body, 0); err != nil {
+		return err
+	}
+	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_End{End: &wire.End{
+		RequestId: a.offer.RequestId, Attempt: a.offer.Attempt, Complete: true,
+	}}})
+}
+
+func (a *attempt) refuse(cause error) error {
+	code := result.CodeOf(cause)
+	r := &wire.Refused{
+		Code:         uint32(code),
+		Detail:       cause.Error(),
+		NotRun:       code.Info().NotRun,
+		RetryAfterMs: uint64(result.RetryAfterOf(cause).Milliseconds()),
+	}
+	if v := a.sidecar.Fleet.View(); v.Table != nil {
+		r.TableRevision = uint64(v.Table.Revision)
+		r.VmListVersion = uint64(v.VMs.Version)
+	}
+	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_Refused{Refused: r}})
+}
