Stand in for engines, a booking service and the platform

Cause: nothing of the fleet can be tried without what stands around it. Change: handlers with the faults that matter: an engine that batches, falls over cold, crashes, cuts streams and resumes; a booking service that counts runs; the configuration service with revisions, rate limit, outage and stale copy; the VM list with its lag; a directory of CSV files as its source. Ruled out: a 503 for a service that is down, since a reset is what an outage looks like; taking an edited file over at first sight, since editors write in steps.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -246,3 +246,13 @@
 	assert.Equal(t, l, Load{Running: 2, Waiting: 1})
 	assert.Equal(t, result.CodeOf(c.Order(t.Context(), Order{Order: "load", Fencing: 3})), result.UpstreamRefused)
 }
+
+// A body that cannot be rewound is a second guard beside the fresh connection.
+func TestBodyCannotBeRewound(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		h, err := Request{Method: "POST", Path: "/", Body: []byte("{}"), Idempotent: idempotent}.build(t.Context(), "127.0.0.1:1")
+		assert.NilError(t, err)
+		assert.Equal(t, h.GetBody != nil, idempotent)
+		assert.Equal(t, h.ContentLength, int64(2))
+	}
+}
--- /dev/null
+++ b/internal/standin/booking.go
@@ -0,0 +1,210 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Actions of a Booking: what it does to its next calls. CutBeforeRun ends the
+// connection with nothing run, CutAfterRun with the booking made and no answer,
+// CutAnswer half way through the answer; CloseDelimited gives an answer that
+// only a closed connection ends; Refuse says that nothing was run; Fail answers
+// with status 500 after the run.
+const (
+	CutBeforeRun   Action = "cut_before_run"
+	CutAfterRun    Action = "cut_after_run"
+	CutAnswer      Action = "cut_answer"
+	CloseDelimited Action = "close_delimited"
+	Refuse         Action = "refuse"
+	Fail           Action = "fail"
+)
+
+// Booking is a plain service whose calls must not run twice. It takes any
+// method and path and counts the runs of each booking.
+type Booking struct {
+	// Delay is how long a call takes; the run counts at its start.
+	Delay time.Duration
+
+	once   sync.Once
+	router *mux.Router
+
+	mu     sync.Mutex
+	action Action
+	times  int
+	stats  BookingStats
+}
+
+// BookingStats is the answer of GET /stats.
+type BookingStats struct {
+	// Runs counts the runs of each booking.
+	Runs  map[string]int `json:"runs"`
+	Total int            `json:"total"`
+	// MostRuns is the highest count of one booking; over 1 is a double run.
+	MostRuns int `json:"most_runs"`
+}
+
+type bookingCall struct {
+	Booking string `json:"booking"`
+}
+
+type bookingAnswer struct {
+	Booking   string `json:"booking"`
+	Run       int    `json:"run"`
+	RequestID string `json:"request_id"`
+}
+
+type bookingControl struct {
+	Action Action `json:"action"`
+	// Times is how many calls it is for; zero for all until Normal.
+	Times int `json:"times"`
+}
+
+// ServeHTTP serves the bookings, with /health, /control and /stats.
+func (b *Booking) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.once.Do(b.start)
+	b.router.ServeHTTP(w, r)
+}
+
+func (b *Booking) start() {
+	b.action = Normal
+	b.stats.Runs = map[string]int{}
+	b.router = mux.NewRouter()
+	b.router.HandleFunc("/health", b.health).Methods(http.MethodGet)
+	b.router.HandleFunc("/stats", b.serveStats).Methods(http.MethodGet)
+	b.router.HandleFunc("/control", b.control).Methods(http.MethodPost)
+	b.router.PathPrefix("/").HandlerFunc(b.book)
+}
+
+func (b *Booking) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, healthReport{Status: "ok", Instance: "booking"})
+}
+
+func (b *Booking) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, b.Stats())
+}
+
+// Stats gives the counts so far.
+func (b *Booking) Stats() BookingStats {
+	b.once.Do(b.start)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.stats
+	s.Runs = maps.Clone(s.Runs)
+	return s
+}
+
+func (b *Booking) control(w http.ResponseWriter, r *http.Request) {
+	var o bookingControl
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := b.Control(o.Action, o.Times); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, b.Stats())
+}
+
+// Control sets what is done to the next calls: so many times, or with zero
+// until Normal is set.
+func (b *Booking) Control(a Action, times int) error {
+	b.once.Do(b.start)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch a {
+	case Normal, CutBeforeRun, CutAfterRun, CutAnswer, CloseDelimited, Refuse, Fail:
+		b.action, b.times = a, times
+		return nil
+	}
+	return fmt.Errorf("control booking: unknown action %q", a)
+}
+
+func (b *Booking) next() Action {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.action
+	if b.times > 0 {
+		if b.times--; b.times == 0 {
+			b.action = Normal
+		}
+	}
+	return a
+}
+
+func (b *Booking) run(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stats.Total++
+	b.stats.Runs[id]++
+	b.stats.MostRuns = max(b.stats.MostRuns, b.stats.Runs[id])
+	return b.stats.Runs[id]
+}
+
+func (b *Booking) book(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	call := bookingCall{Booking: r.Method + " " + r.URL.Path}
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &call); err != nil {
+			refuse(w, http.StatusBadRequest, err.Error())
+			return
+		}
+	}
+	action := b.next()
+	switch action {
+	case CutBeforeRun:
+		reset(w)
+		return
+	case Refuse:
+		refuseNotRun(w, "the service takes no bookings")
+		return
+	}
+	answer := bookingAnswer{Booking: call.Booking, Run: b.run(call.Booking), RequestID: r.Header.Get("X-Request-Id")}
+	// A booking that has begun is made, whether or not its caller waits.
+	if b.Delay > 0 {
+		t := time.NewTimer(b.Delay)
+		<-t.C
+	}
+	b.answer(w, action, answer)
+}
+
+func (b *Booking) answer(w http.ResponseWriter, action Action, a bookingAnswer) {
+	text, err := json.Marshal(a)
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	switch action {
+	case CutAfterRun:
+		reset(w)
+	case CutAnswer:
+		raw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:len(text)/2]))
+	case CloseDelimited:
+		raw(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"+string(text))
+	case Fail:
+		refuse(w, http.StatusInternalServerError, "the booking failed")
+	default:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	}
+}
+
+// raw writes an answer past the server and closes the connection.
+func raw(w http.ResponseWriter, answer string) {
+	conn := take(w)
+	_, _ = io.WriteString(conn, answer)
+	conn.Close()
+}
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// collected is a sink that keeps the text of an answer.
+type collected struct {
+	raw  strings.Builder
+	came func()
+}
+
+func (c *collected) Head(int, http.Header) error { return nil }
+
+func (c *collected) Data(p []byte) error {
+	c.raw.Write(p)
+	if c.came != nil {
+		c.came()
+	}
+	return nil
+}
+
+func (c *collected) text(t *testing.T) string {
+	t.Helper()
+	var b strings.Builder
+	for line := range strings.Lines(c.raw.String()) {
+		line = strings.TrimPrefix(strings.TrimSpace(line), "data: ")
+		var e completion
+		if line == "" || line == "[DONE]" {
+			continue
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &e))
+		for _, o := range e.Choices {
+			b.WriteString(o.Text)
+			if o.Delta != nil {
+				b.WriteString(o.Delta.Content)
+			}
+			if o.Message != nil {
+				b.WriteString(o.Message.Content)
+			}
+		}
+	}
+	return b.String()
+}
+
+func ask(body string) engine.Request {
+	return engine.Request{Method: "POST", Path: "/v1/chat/completions", Body: []byte(body), RequestID: "r1", Idempotent: true, Streamed: strings.Contains(body, "stream")}
+}
+
+const (
+	wholeBody  = `{"model":"m","max_tokens":11}`
+	streamBody = `{"model":"m","max_tokens":11,"stream":true}`
+)
+
+func TestEngineAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1, FirstToken: 100 * time.Millisecond, TokenGap: 10 * time.Millisecond}
+		c := serve(t, e)
+		for _, body := range []string{wholeBody, streamBody, `{"stream":true}`} {
+			for _, path := range []string{"/v1/chat/completions", "/v1/completions"} {
+				var got collected
+				r := ask(body)
+				r.Path = path
+				out := c.Do(t.Context(), r, &got)
+				assert.Assert(t, out.Complete, out.Detail)
+				words := Words([]byte(body), "r1", 0, defaultLeastTokens, defaultMostTokens)
+				if body != `{"stream":true}` {
+					words = Words([]byte(body), "r1", 11, 0, 0)
+				}
+				assert.Equal(t, got.text(t), strings.Join(words, ""))
+				assert.Equal(t, out.Tokens, table.Tokens(len(words)))
+				if r.Streamed {
+					assert.Equal(t, out.FirstToken, e.FirstToken)
+					assert.Equal(t, out.TokenGap, e.TokenGap)
+				}
+			}
+		}
+		var got collected
+		r := ask(streamBody)
+		r.ResumeOffset = 3
+		out := c.Do(t.Context(), r, &got)
+		assert.Equal(t, out.Tokens, table.Tokens(8))
+		assert.Equal(t, got.text(t), strings.Join(Words([]byte(streamBody), "r1", 11, 0, 0)[3:], ""))
+		assert.Equal(t, e.Stats().Resumed, 1)
+
+		together(t, c, 3, func(out engine.Outcome) {
+			assert.Assert(t, out.Complete && out.TokenGap > e.TokenGap, out.TokenGap)
+		})
+	})
+}
+
+// together runs streamed requests at one time.
+func together(t *testing.T, c *engine.Client, n int, check func(engine.Outcome)) {
+	t.Helper()
+	outs := make([]engine.Outcome, n)
+	var g sync.WaitGroup
+	for i := range n {
+		g.Go(func() { outs[i] = c.Do(t.Context(), ask(streamBody), &collected{}) })
+	}
+	g.Wait()
+	for _, out := range outs {
+		check(out)
+	}
+}
+
+func TestColdEngineFallsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Name: "e", Slots: 8, ColdSlots: 1, WarmAfter: 2, TokenGap: time.Millisecond, FirstToken: time.Millisecond, RestartAfter: time.Second, LoadFor: time.Second}
+		c := serve(t, e)
+		together(t, c, 2, func(out engine.Outcome) {
+			assert.Assert(t, out.Died && !out.NotRun, out.Detail)
+		})
+		assert.Equal(t, e.Stats().ColdFalls, 1)
+		_, err := c.Health(t.Context())
+		assert.Equal(t, result.CodeOf(err), result.UpstreamUnreached)
+		time.Sleep(time.Second)
+		h, err := c.Health(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, h, engine.Health{Instance: "e-1"})
+		out := c.Do(t.Context(), ask(wholeBody), &collected{})
+		assert.Equal(t, out.Code, result.UpstreamRefused)
+		time.Sleep(time.Second)
+		for range 2 {
+			assert.Assert(t, c.Do(t.Context(), ask(wholeBody), &collected{}).Complete)
+		}
+		together(t, c, 8, func(out engine.Outcome) { assert.Assert(t, out.Complete, out.Detail) })
+		assert.NilError(t, e.Control(Cold, 0))
+		together(t, c, 2, func(out engine.Outcome) { assert.Assert(t, out.Died) })
+		s := e.Stats()
+		assert.Equal(t, s.MostRunningCold, 2)
+		assert.Equal(t, s.Crashes, 2)
+		assert.Equal(t, s.Running, 0)
+	})
+}
+
+func TestEngineFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Name: "e", FirstToken: time.Second, TokenGap: time.Second, LoadLag: 3 * time.Second}
+		c := serve(t, e)
+		ctx, cancel := context.WithTimeout(t.Context(), 5500*time.Millisecond)
+		defer cancel()
+		out := c.Do(ctx, ask(streamBody), &collected{})
+		assert.Equal(t, out.Code, result.UpstreamTimeout)
+		assert.Equal(t, out.Tokens, table.Tokens(5))
+		synctest.Wait()
+		s := e.Stats()
+		assert.Equal(t, s.Cancelled, 1)
+		assert.Equal(t, s.Wasted, 5)
+		assert.Equal(t, s.Running, 0)
+		l, err := c.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, l, engine.Load{Running: 1})
+		time.Sleep(3 * time.Second)
+		l, err = c.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, l, engine.Load{})
+
+		fails := []struct {
+			action Action
+			code   result.Code
+			died   bool
+			then   string
+		}{
+			{CutStreams, result.UpstreamCutOff, true, "e-0"},
+			{Crash, result.UpstreamCutOff, true, "e-1"},
+		}
+		for _, tt := range fails {
+			time.AfterFunc(2500*time.Millisecond, func() { e.Control(tt.action, 0) })
+			out := c.Do(t.Context(), ask(streamBody), &collected{})
+			assert.Equal(t, out.Code, tt.code)
+			assert.Equal(t, out.Died, tt.died)
+			assert.Equal(t, out.Tokens, table.Tokens(2))
+			assert.Equal(t, e.Stats().Instance, tt.then)
+		}
+		out = c.Do(t.Context(), ask(`{"prompt":"`+CrashText+`"}`), &collected{})
+		assert.Assert(t, out.Died)
+		assert.Equal(t, e.Stats().Instance, "e-2")
+
+		assert.NilError(t, e.Control(Slow, 5))
+		out = c.Do(t.Context(), ask(streamBody), &collected{})
+		assert.Equal(t, out.TokenGap, 5*time.Second)
+		assert.NilError(t, e.Control(Drain, 0))
+		h, err := c.Health(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, h.Draining && !h.Up)
+		out = c.Do(t.Context(), ask(streamBody), &collected{})
+		assert.Assert(t, out.NotRun && out.Code == result.UpstreamRefused)
+		assert.NilError(t, e.Control(Normal, 0))
+		assert.Assert(t, c.Do(t.Context(), ask(wholeBody), &collected{}).Complete)
+		assert.ErrorContains(t, e.Control("dance", 0), "dance")
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, checks := range []bool{true, false} {
+			e := &Engine{ChecksFencing: checks}
+			c := serve(t, e)
+			assert.NilError(t, c.Order(t.Context(), engine.Order{Order: "load a", Fencing: 7}))
+			err := c.Order(t.Context(), engine.Order{Order: "load b", Fencing: 6})
+			assert.Equal(t, result.CodeOf(err) == result.UpstreamRefused, checks)
+			assert.Equal(t, e.Stats().Fencing, uint64(7))
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/vms.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"jasminewing.dev/jasminewing/internal/fleet"
+)
+
+// VMs is the platform's VM list. It shows a change only after a lag.
+type VMs struct {
+	// Lag is the time until a change shows.
+	Lag time.Duration
+
+	once sync.Once
+
+	mu      sync.Mutex
+	current fleet.VMList
+	shown   lagged[fleet.VMList]
+	down    bool
+	changed chan struct{}
+	calls   int
+}
+
+func (v *VMs) start() {
+	v.shown.lag = v.Lag
+	v.changed = make(chan struct{})
+}
+
+// Service gives the handler for processes: GET /v1/vms.
+func (v *VMs) Service() http.Handler {
+	v.once.Do(v.start)
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/vms", v.watch).Methods(http.MethodGet)
+	return r
+}
+
+// Control gives the handler for what makes and ends VMs: PUT and DELETE
+// /v1/vms/NAME, and POST /v1/state/{up,down}.
+func (v *VMs) Control() http.Handler {
+	v.once.Do(v.start)
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/vms/{name}", v.put).Methods(http.MethodPut)
+	r.HandleFunc("/v1/vms/{name}", v.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/state/{state:up|down}", func(_ http.ResponseWriter, r *http.Request) {
+		v.SetDown(mux.Vars(r)["state"] == "down")
+	}).Methods(http.MethodPost)
+	return r
+}
+
+// Set adds or changes a VM.
+func (v *VMs) Set(vm fleet.VM) {
+	v.change(func(vms []fleet.VM) []fleet.VM { return append(without(vms, vm.Name), vm) })
+}
+
+// Remove takes a VM from the list.
+func (v *VMs) Remove(name fleet.VMName) {
+	v.change(func(vms []fleet.VM) []fleet.VM { return without(vms, name) })
+}
+
+func without(vms []fleet.VM, name fleet.VMName) []fleet.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(o fleet.VM) bool { return o.Name == name })
+}
+
+func (v *VMs) change(f func([]fleet.VM) []fleet.VM) {
+	v.once.Do(v.start)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	vms := f(v.current.VMs)
+	slices.SortFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(a.Name, b.Name) })
+	v.current = fleet.VMList{Version: v.current.Version + 1, VMs: vms}
+	v.shown.set(time.Now(), v.current)
+	if v.Lag == 0 {
+		v.wake()
+		return
+	}
+	time.AfterFunc(v.Lag, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.wake()
+	})
+}
+
+// SetDown makes the list reset every connection, also those that wait.
+func (v *VMs) SetDown(down bool) {
+	v.once.Do(v.start)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = down
+	v.wake()
+}
+
+// Calls counts the calls so far.
+func (v *VMs) Calls() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.calls
+}
+
+func (v *VMs) wake() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *VMs) look() (list fleet.VMList, changed <-chan struct{}, down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.shown.at(time.Now()), v.changed, v.down
+}
+
+func (v *VMs) watch(w http.ResponseWriter, r *http.Request) {
+	after, wait, err := watchQuery(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	v.mu.Lock()
+	v.calls++
+	v.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	over := false
+	for {
+		list, changed, down := v.look()
+		switch {
+		case down:
+			reset(w)
+			return
+		case uint64(list.Version) > after:
+			writeJSON(w, http.StatusOK, list)
+			return
+		case over:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (v *VMs) put(w http.ResponseWriter, r *http.Request) {
+	var vm fleet.VM
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&vm); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	vm.Name = fleet.VMName(mux.Vars(r)["name"])
+	v.Set(vm)
+}
+
+func (v *VMs) remove(_ http.ResponseWriter, r *http.Request) {
+	v.Remove(fleet.VMName(mux.Vars(r)["name"]))
+}
+
+// watchQuery reads the query of a watch: after what, and how long to wait.
+func watchQuery(r *http.Request) (after uint64, wait time.Duration, err error) {
+	q := r.URL.Query()
+	if s := q.Get("after"); s != "" {
+		if after, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return 0, 0, fmt.Errorf("read after: %w", err)
+		}
+	}
+	if s := q.Get("wait_ms"); s != "" {
+		ms, err := strconv.ParseUint(s, 10, 32)
+		if err != nil {
+			return 0, 0, fmt.Errorf("read wait_ms: %w", err)
+		}
+		wait = min(time.Duration(ms)*time.Millisecond, maxWait)
+	}
+	return after, wait, nil
+}
--- /dev/null
+++ b/internal/standin/words.go
@@ -0,0 +1,40 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+var vocabulary = [...]string{
+	"amber", "birch", "cedar", "delta", "ember", "fjord", "grove", "heron", "inlet", "juniper", "kelp", "larch",
+	"maple", "north", "otter", "pine", "quartz", "reed", "slate", "tern", "umber", "vale", "willow", "yarrow",
+}
+
+// Words gives the answer to a body: the same for the same body and request id,
+// whichever engine runs it. The first word names the request, so that an
+// answer that reaches another caller shows. With no maxTokens the length is
+// between least and most and only known once the answer ends.
+func Words(body []byte, requestID string, maxTokens, least, most int) []string {
+	seed := xxhash.Sum64(body)
+	n := maxTokens
+	if n <= 0 {
+		n = least + int(seed%uint64(max(1, most-least+1)))
+	}
+	words := make([]string, 0, n)
+	for i := range n {
+		words = append(words, word(seed, i))
+	}
+	if n > 0 {
+		words[0] = fmt.Sprintf("[%s] ", requestID)
+	}
+	return words
+}
+
+func word(seed uint64, i int) string {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], seed)
+	binary.LittleEndian.PutUint64(b[8:], uint64(i))
+	return vocabulary[xxhash.Sum64(b[:])%uint64(len(vocabulary))] + " "
+}
