--- a/pkg/table/column.go
+++ b/pkg/table/column.go
@@ -146,7 +146,7 @@
 	},
 	{
 		name: "requests_per_second", fallback: "0", text: "rate for the whole fleet; 0 for no limit",
-		kind: rateKind(func(r *Account) *float64 { return &r.RequestsPerSecond }, "requests a second", 0, 1_000_000),
+		kind: rateKind(func(r *Account) *float64 { return &r.RequestsPerSecond }, "requests a second", 0.01, 1_000_000),
 	},
 	{
 		name: "burst", derived: "`requests_per_second` rounded up, at least 1", text: "most requests at once above the rate",
--- a/pkg/table/fault.go
+++ b/pkg/table/fault.go
@@ -26,8 +26,12 @@
 	return fmt.Sprintf("%s: %s", f.Place(), f.Unwrap())
 }
 
-// Place gives section, row and column, separated by colons.
+// Place gives section, row and column, separated by colons, as far as they are
+// known.
 func (f Fault) Place() string {
+	if f.Row == 0 {
+		return f.Section
+	}
 	if f.Column == "" {
 		return fmt.Sprintf("%s:%d", f.Section, f.Row)
 	}
--- a/pkg/table/kind.go
+++ b/pkg/table/kind.go
@@ -103,17 +103,21 @@
 	}
 }
 
+// rateKind takes zero for no limit.
 func rateKind[T any](field func(*T) *float64, unit string, low, high float64) kind[T] {
 	return kind[T]{
 		unit: unit,
-		span: fmt.Sprintf("%g to %g", low, high),
+		span: fmt.Sprintf("0, or %g to %v", low, int(high)),
 		set: func(row *T, cell string) *result.Error {
 			n, err := strconv.ParseFloat(cell, 64)
 			if err != nil || math.IsNaN(n) {
 				return result.Errorf(result.BadCell, "%q is not a number", cell)
 			}
 			*field(row) = n
-			return checkRange(n, low, high)
+			if n != 0 && (n < low || n > high) {
+				return result.Errorf(result.CellOutOfRange, "%s is neither 0 nor within %g to %v", cell, low, int(high))
+			}
+			return nil
 		},
 		get: func(row *T) string { return strconv.FormatFloat(*field(row), 'g', -1, 64) },
 	}
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -1,8 +1,10 @@
 package table
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 
 	"jasminewing.dev/jasminewing/pkg/result"
@@ -28,7 +30,7 @@
 func Parse(sections []Section) (*Table, []Fault) {
 	d := &draft{unread: make(map[string]bool)}
 	given := make(map[string]bool)
-	for _, s := range sections {
+	for _, s := range inOrder(sections) {
 		if given[s.Name] {
 			d.addFault(s.Name, 0, "", result.DuplicateRow, "the section is given twice")
 			continue
@@ -46,6 +48,14 @@
 	return d.table(), nil
 }
 
+// inOrder sorts the sections, so that the order in which they came changes
+// nothing.
+func inOrder(sections []Section) []Section {
+	return slices.SortedStableFunc(slices.Values(sections), func(a, b Section) int {
+		return cmp.Or(cmp.Compare(sectionRank(a.Name), sectionRank(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+}
+
 func (d *draft) addFault(section string, row int, column string, code result.Code, format string, args ...any) {
 	d.faults = append(d.faults, Fault{section, row, column, code, fmt.Sprintf(format, args...)})
 }
@@ -85,20 +95,11 @@
 	rs, faults := readRows(sh, columns)
 	*rows = append(*rows, rs...)
 	d.faults = append(d.faults, faults...)
-	if len(sh.header) > 0 && !hasColumn(sh, "name") {
+	if !slices.Contains(sh.header, "name") {
 		d.unread[wholeName(sh.section)] = true
 	}
 }
 
-func hasColumn(sh sheet, name string) bool {
-	for _, h := range sh.header {
-		if h == name {
-			return true
-		}
-	}
-	return false
-}
-
 // checkSections refuses a table of which a section is missing or has no rows:
 // an emptied sheet is taken for a mistake.
 func (d *draft) checkSections(given map[string]bool) {
--- a/pkg/table/rows.go
+++ b/pkg/table/rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -38,10 +37,11 @@
 func readHeader[T any](s sheet, columns []column[T]) ([]int, []Fault) {
 	var faults []Fault
 	places := make([]int, len(columns))
+	first := firstPlaces(s.header)
 	known := map[string]bool{commentColumn: true}
 	for i, c := range columns {
 		known[c.name] = true
-		places[i] = slices.Index(s.header, c.name)
+		places[i] = placeOf(first, c.name)
 		if c.required && places[i] < 0 {
 			faults = append(faults, Fault{s.section, s.headerRow, c.name, result.MissingColumn, "the section needs this column"})
 		}
@@ -52,13 +52,31 @@
 		}
 		if !known[name] {
 			faults = append(faults, Fault{s.section, s.headerRow, name, result.UnknownColumn, "the section has no such column"})
-		} else if slices.Index(s.header, name) != i {
+		} else if first[name] != i {
 			faults = append(faults, Fault{s.section, s.headerRow, name, result.UnknownColumn, "the column is there twice"})
 		}
 	}
 	return places, faults
 }
 
+func firstPlaces(header []string) map[string]int {
+	first := make(map[string]int, len(header))
+	for i, name := range header {
+		if _, held := first[name]; !held {
+			first[name] = i
+		}
+	}
+	return first
+}
+
+func placeOf(first map[string]int, name string) int {
+	i, held := first[name]
+	if !held {
+		return -1
+	}
+	return i
+}
+
 // readUnnamed refuses cells under a header cell that is empty: nobody would
 // read them.
 func readUnnamed(s sheet, rec record) []Fault {
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -67,7 +67,7 @@
 	served := make(map[ServiceName]bool)
 	for _, r := range d.upstreams {
 		for _, s := range r.value.Serves {
-			served[s] = served[s] || r.value.Kind == Plain
+			served[s] = served[s] || r.value.Kind != Engine
 		}
 	}
 	for i := range d.classes {
