--- /dev/null
+++ b/internal/setting/sidecar.go
@@ -0,0 +1,58 @@
+package setting
+
+import (
+	"errors"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Sidecar are the settings of a sidecar.
+type Sidecar struct {
+	Common
+
+	Listen fleet.Address `long:"listen" env:"JASMINEWING_LISTEN" value-name:"IP:PORT" description:"where to listen for the fleet's processes"`
+
+	UpstreamName    table.UpstreamName `long:"upstream-name" env:"JASMINEWING_UPSTREAM_NAME" value-name:"NAME" description:"upstream this sidecar stands before, a row of the table"`
+	UpstreamAddress fleet.Address      `long:"upstream-address" env:"JASMINEWING_UPSTREAM_ADDRESS" value-name:"IP:PORT" description:"where the upstream listens"`
+
+	MaxParked Count `long:"max-parked" env:"JASMINEWING_MAX_PARKED" value-name:"N" default:"1024" description:"most offers that wait here"`
+	MaxKeys   Count `long:"max-keys" env:"JASMINEWING_MAX_KEYS" value-name:"N" default:"100000" description:"most idempotency keys that are remembered"`
+}
+
+// Bounds of a sidecar's settings.
+const (
+	maxParked = 1_000_000
+	maxKeys   = 10_000_000
+)
+
+// Validate gives all faults, in the order of settings. Each is a *result.Error
+// with the code result.BadSetting.
+func (s *Sidecar) Validate() []error {
+	var k checker
+	s.check(&k)
+	k.listen("listen", s.Listen)
+	k.distinct(listener{"admin-listen", s.AdminListen}, listener{"listen", s.Listen})
+	k.name("upstream-name", string(s.UpstreamName))
+	k.remote("upstream-address", s.UpstreamAddress)
+	k.count("max-parked", s.MaxParked, 1, maxParked)
+	k.count("max-keys", s.MaxKeys, 1, maxKeys)
+	return k.errs
+}
+
+// ValidateAgainst holds the settings against a table. Its errors have the code
+// result.BadSetting.
+func (s *Sidecar) ValidateAgainst(t *table.Table) error {
+	return errors.Join(s.Common.ValidateAgainst(t), s.checkUpstream(t))
+}
+
+func (s *Sidecar) checkUpstream(t *table.Table) error {
+	u, ok := t.Upstreams[s.UpstreamName]
+	if !ok {
+		return badSetting("upstream-name", string(s.UpstreamName), "a row of the table's section upstreams")
+	}
+	if u.DataCentre != s.DataCentre {
+		return badSetting("data-centre", string(s.DataCentre), "the data centre of the upstream's row, "+string(u.DataCentre))
+	}
+	return nil
+}
