Share table and VM list between processes

Cause: every process needs the table and the VM list within seconds, and the configuration service takes 2,000 calls a second from all of them. Ruled out: each process watching for itself (1,450 waiting watches and a read of each edit by each process), and one reader by election. Change: a core that exchanges digests with peers, pulls values, reads the service by rank or when its confirmation is old, refuses single values, and holds work back after a pause; a task with sockets and timers round it.

--- /dev/null
+++ b/internal/fleet/list.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// maxListBytes bounds a VM list.
+const maxListBytes = 1 << 20
+
+// codedList gives the VM list as peers pass it on, made once a version.
+func (c *Core) codedList() []byte {
+	if c.coded == nil {
+		c.coded = encodeList(c.list)
+	}
+	return c.coded
+}
+
+func encodeList(l VMList) []byte {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := json.NewEncoder(z).Encode(l); err != nil {
+		return nil
+	}
+	if err := z.Close(); err != nil {
+		return nil
+	}
+	return b.Bytes()
+}
+
+func decodeList(b []byte) (VMList, error) {
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return VMList{}, fmt.Errorf("read VM list: %w", err)
+	}
+	var l VMList
+	if err := json.NewDecoder(io.LimitReader(z, maxListBytes)).Decode(&l); err != nil {
+		return VMList{}, fmt.Errorf("read VM list: %w", err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/fleet/peers.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// neighbourCount is how many peers a process talks to of itself. They stay
+	// the same while the VM list does, so that connections last.
+	neighbourCount = 8
+	// rankedCount is how many more stand by for those that do not answer.
+	rankedCount = 24
+	// failedFor is how long a peer that did not answer is passed over.
+	failedFor = 10 * time.Second
+)
+
+// peers chooses whom to talk to, by rendezvous hash over the VM list.
+type peers struct {
+	ranked []Address
+	failed map[Address]time.Time
+	next   int
+}
+
+func (p *peers) rank(self VM, l VMList) {
+	type entry struct {
+		hash    uint64
+		address Address
+	}
+	es := make([]entry, 0, len(l.VMs))
+	for _, v := range l.VMs {
+		if v.Address != self.Address && v.Address != "" {
+			es = append(es, entry{hashPair(string(self.Address), string(v.Address)), v.Address})
+		}
+	}
+	slices.SortFunc(es, func(a, b entry) int {
+		if a.hash < b.hash {
+			return -1
+		}
+		return 1
+	})
+	p.ranked = p.ranked[:0]
+	for _, e := range es[:min(len(es), rankedCount)] {
+		p.ranked = append(p.ranked, e.address)
+	}
+}
+
+// neighbours gives those peers that answer, and the seeds where there are few.
+func (p *peers) neighbours(now time.Time, self Address, seeds []Address) []Address {
+	var as []Address
+	add := func(a Address) {
+		if len(as) < neighbourCount && a != self && !p.fails(now, a) && !slices.Contains(as, a) {
+			as = append(as, a)
+		}
+	}
+	for _, a := range p.ranked {
+		add(a)
+	}
+	for _, a := range seeds {
+		add(a)
+	}
+	if len(as) == 0 && len(p.failed) > 0 {
+		// None answers: try them again rather than none.
+		clear(p.failed)
+		return p.neighbours(now, self, seeds)
+	}
+	return as
+}
+
+// choose gives n neighbours in turn.
+func (p *peers) choose(now time.Time, n int, self Address, seeds []Address) []Address {
+	as := p.neighbours(now, self, seeds)
+	n = min(n, len(as))
+	var chosen []Address
+	for range n {
+		p.next++
+		chosen = append(chosen, as[p.next%len(as)])
+	}
+	return chosen
+}
+
+func (p *peers) fails(now time.Time, a Address) bool {
+	return now.Before(p.failed[a])
+}
+
+func (p *peers) fail(now time.Time, a Address) {
+	if p.failed == nil {
+		p.failed = make(map[Address]time.Time)
+	}
+	for b, until := range p.failed {
+		if !now.Before(until) {
+			delete(p.failed, b)
+		}
+	}
+	p.failed[a] = now.Add(failedFor)
+}
+
+func (p *peers) answers(a Address) { delete(p.failed, a) }
+
+func hashPair(a, b string) uint64 { return xxhash.Sum64String(a + "|" + b) }
--- /dev/null
+++ b/internal/fleet/task_calls.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// carry carries out an effect of the core.
+func (t *Task) carry(ctx context.Context, f Effect, answer chan *wire.SyncReply) {
+	switch f := f.(type) {
+	case Answer:
+		answer <- f.Reply
+	case ViewChanged:
+		t.view.Store(f.View)
+		if !f.Quiet {
+			t.notify()
+		}
+	case Report:
+		t.report(f)
+	case CallSync:
+		t.callSync(ctx, f)
+	case CallWatch:
+		t.call(ctx, f.Wait, func(ctx context.Context) Message {
+			r, changed, err := t.Config.Watch(ctx, f.After, f.Wait)
+			return Watched{f.Sent, r, changed, err}
+		})
+	case CallGet:
+		t.call(ctx, 0, func(ctx context.Context) Message {
+			v, err := t.Config.Get(ctx, f.Name)
+			return Got{f.Name, v, err}
+		})
+	case CallList:
+		t.call(ctx, f.Wait, func(ctx context.Context) Message {
+			l, err := t.VMs.List(ctx, f.After, f.Wait)
+			return Listed{f.Sent, l, err}
+		})
+	}
+}
+
+// call makes a call that may wait, and gives its answer to the core.
+func (t *Task) call(ctx context.Context, wait time.Duration, ask func(context.Context) Message) {
+	t.group.Go(func() error {
+		bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		defer cancel()
+		t.post(ctx, envelope{message: ask(bounded)})
+		return nil
+	})
+}
+
+func (t *Task) callSync(ctx context.Context, f CallSync) {
+	select {
+	case t.syncs <- struct{}{}:
+	default:
+		err := result.Errorf(result.CallBudget, "sync: %d calls under way", maxSyncs)
+		t.postLater(ctx, SyncAnswered{f.Sent, f.To, f.Pull, nil, err})
+		return
+	}
+	if t.Suspicions != nil {
+		f.Request.Suspicions = t.Suspicions.Share(t.Now())
+	}
+	t.call(ctx, 0, func(ctx context.Context) Message {
+		defer func() { <-t.syncs }()
+		reply, err := t.Peers.Sync(ctx, f.To, f.Request)
+		if err == nil && t.Suspicions != nil {
+			t.Suspicions.Heard(t.Now(), reply.Suspicions)
+		}
+		return SyncAnswered{f.Sent, f.To, f.Pull, reply, err}
+	})
+}
+
+// postLater posts from the loop itself, which must not wait for its own inbox.
+func (t *Task) postLater(ctx context.Context, m Message) {
+	t.group.Go(func() error {
+		t.post(ctx, envelope{message: m})
+		return nil
+	})
+}
+
+func (t *Task) report(r Report) {
+	var fields []any
+	if r.Revision != 0 {
+		fields = append(fields, "revision", r.Revision)
+	}
+	if r.Err != nil {
+		fields = append(fields, "error", r.Err.Error())
+	}
+	switch r.Event {
+	case event.TableApplied, event.VMListApplied, event.TableRefused, event.PauseNoticed:
+		if r.Subject != "" {
+			fields = append(fields, "subject", r.Subject)
+		}
+		t.Log.Write(r.Event, fields...)
+	default:
+		t.Log.WriteThrottled(r.Event, r.Subject, fields...)
+	}
+}
--- /dev/null
+++ b/internal/fleet/values.go
@@ -0,0 +1,325 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// inForcePrefix marks, between peers, the copy that is in force of a value
+// whose newest revision is refused. A new process needs it for a table.
+const inForcePrefix = "="
+
+// maxTries bounds the parses for one decision.
+const maxTries = 12
+
+// Refusal is a value that is known and not in force.
+type Refusal struct {
+	Name     string
+	Revision table.Revision
+	// InForce is the revision that stays in force; 0 for none.
+	InForce table.Revision
+	// Err is what the parser says.
+	Err   error
+	Since time.Time
+}
+
+// values holds every value at its highest revision, and what is in force.
+type values struct {
+	parse func([]Value) (*table.Table, error)
+
+	newest  map[string]Value
+	inForce map[string]Value
+	// copies are peers' copies of what is in force there and older than newest.
+	copies  map[string]Value
+	table   *table.Table
+	highest table.Revision
+	digest  uint64
+	refused map[string]Refusal
+	// reported holds the refused revision of a name that was logged.
+	reported map[string]table.Revision
+}
+
+// offer takes a value over if it is newer than what is held. A lower or equal
+// revision never is, whoever sends it.
+func (s *values) offer(v Value) bool {
+	if s.newest == nil {
+		s.newest = make(map[string]Value)
+		s.inForce = make(map[string]Value)
+		s.copies = make(map[string]Value)
+		s.refused = make(map[string]Refusal)
+		s.reported = make(map[string]table.Revision)
+	}
+	if name, ok := strings.CutPrefix(v.Name, inForcePrefix); ok {
+		return s.offerCopy(Value{name, v.Revision, v.Data})
+	}
+	old, held := s.newest[v.Name]
+	if v.Name == "" || held && v.Revision <= old.Revision {
+		return false
+	}
+	if held {
+		s.digest ^= hashRevision(old)
+	}
+	s.digest ^= hashRevision(v)
+	s.newest[v.Name] = v
+	s.highest = max(s.highest, v.Revision)
+	return true
+}
+
+// offerCopy takes a peer's copy that is in force there and newer than the one
+// that is in force here.
+func (s *values) offerCopy(v Value) bool {
+	if v.Name == "" || v.Revision <= s.held(inForcePrefix+v.Name) {
+		return false
+	}
+	s.copies[v.Name] = v
+	return true
+}
+
+// held gives the revision that is held of a value, or of a copy in force.
+func (s *values) held(name string) table.Revision {
+	if n, ok := strings.CutPrefix(name, inForcePrefix); ok {
+		return max(s.inForce[n].Revision, s.copies[n].Revision)
+	}
+	return s.newest[name].Revision
+}
+
+func isCopy(name string) bool { return strings.HasPrefix(name, inForcePrefix) }
+
+// incomplete says that a value is known of which no revision is in force.
+func (s *values) incomplete() bool {
+	for name := range s.newest {
+		if s.inForce[name].Revision == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// decide puts the newest values in force. If they make no valid table
+// together, values are put in force one by one in the order of their
+// revisions, and those that make the table invalid are refused. So a bad row
+// among the accounts does not hold up an order to take a data centre out.
+func (s *values) decide(now time.Time) {
+	t, err := s.parse(sorted(s.newest))
+	if err == nil {
+		s.enforce(s.newest, t)
+		clear(s.copies)
+		clear(s.refused)
+		return
+	}
+	base, best, errs := s.combine()
+	if best != nil {
+		s.enforce(base, best)
+	}
+	s.refuse(errs, err, now)
+}
+
+// combine adds to what is in force one value after the other that leaves the
+// table valid. It gives no table if there is none.
+func (s *values) combine() (base map[string]Value, best *table.Table, errs map[string]error) {
+	base = s.base()
+	best, _ = s.parse(sorted(base))
+	errs = make(map[string]error)
+	for _, v := range s.candidates(base) {
+		if len(errs) >= maxTries {
+			continue
+		}
+		old, held := base[v.Name]
+		base[v.Name] = v
+		t, err := s.parse(sorted(base))
+		if err == nil {
+			best = t
+			continue
+		}
+		errs[v.Name] = err
+		delete(base, v.Name)
+		if held {
+			base[v.Name] = old
+		}
+	}
+	return base, best, errs
+}
+
+// base is what is in force. Without a table it is the copies of peers, and for
+// names without one the newest.
+func (s *values) base() map[string]Value {
+	base := make(map[string]Value, len(s.newest))
+	for name, v := range s.inForce {
+		base[name] = v
+	}
+	if s.table != nil {
+		return base
+	}
+	for name, v := range s.newest {
+		base[name] = v
+	}
+	for name, v := range s.copies {
+		base[name] = v
+	}
+	return base
+}
+
+// candidates gives the copies and newest values that are newer than base, in
+// the order of revisions.
+func (s *values) candidates(base map[string]Value) []Value {
+	var vs []Value
+	for name, v := range s.copies {
+		if v.Revision > base[name].Revision {
+			vs = append(vs, v)
+		}
+	}
+	for name, v := range s.newest {
+		if v.Revision > base[name].Revision && v.Revision != s.copies[name].Revision {
+			vs = append(vs, v)
+		}
+	}
+	slices.SortFunc(vs, func(a, b Value) int {
+		if a.Revision != b.Revision {
+			return cmp.Compare(a.Revision, b.Revision)
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return vs
+}
+
+func (s *values) enforce(vs map[string]Value, t *table.Table) {
+	if s.table != nil && same(s.inForce, vs) {
+		return
+	}
+	s.table = t
+	s.inForce = make(map[string]Value, len(vs))
+	for name, v := range vs {
+		s.inForce[name] = v
+	}
+}
+
+// refuse notes what is not in force. Without any table no single value is to
+// blame, so each that is known is listed with the fault of them all.
+func (s *values) refuse(errs map[string]error, whole error, now time.Time) {
+	for name, r := range s.refused {
+		if s.newest[name].Revision != r.Revision || s.inForce[name].Revision == r.Revision && s.table != nil {
+			delete(s.refused, name)
+		}
+	}
+	for name, v := range s.newest {
+		if s.table != nil && s.inForce[name].Revision == v.Revision {
+			continue
+		}
+		err, since := errs[name], now
+		if err == nil {
+			err = whole
+		}
+		if r, known := s.refused[name]; known {
+			since = r.Since
+		}
+		s.refused[name] = Refusal{name, v.Revision, s.inForceRevision(name), err, since}
+	}
+}
+
+func (s *values) inForceRevision(name string) table.Revision {
+	if s.table == nil {
+		return 0
+	}
+	return s.inForce[name].Revision
+}
+
+func (s *values) refusals() []Refusal {
+	rs := make([]Refusal, 0, len(s.refused))
+	for _, r := range s.refused {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b Refusal) int { return strings.Compare(a.Name, b.Name) })
+	return rs
+}
+
+// unreported gives each refused revision once, after it lasted for refuseDelay.
+// While values are still missing there is nothing to report.
+func (s *values) unreported(now time.Time, whole bool) []Refusal {
+	if !whole && s.table == nil {
+		return nil
+	}
+	var rs []Refusal
+	for _, r := range s.refusals() {
+		if s.reported[r.Name] == r.Revision || now.Sub(r.Since) < refuseDelay {
+			continue
+		}
+		s.reported[r.Name] = r.Revision
+		rs = append(rs, r)
+	}
+	return rs
+}
+
+// vector gives the revision of every value, and of copies in force that are
+// not the newest.
+func (s *values) vector() []ValueRevision {
+	vs := make([]ValueRevision, 0, len(s.newest))
+	for _, v := range sorted(s.newest) {
+		vs = append(vs, ValueRevision{v.Name, v.Revision})
+		if name := inForcePrefix + v.Name; s.held(name) > 0 && s.held(name) < v.Revision {
+			vs = append(vs, ValueRevision{name, s.held(name)})
+		}
+	}
+	return vs
+}
+
+// newer gives what a peer with this vector lacks, up to a size in bytes.
+func (s *values) newer(have map[string]table.Revision, size int) []Value {
+	var vs []Value
+	for _, v := range sorted(s.newest) {
+		if v.Revision > have[v.Name] {
+			vs = append(vs, v)
+		}
+		f, name := s.copyOf(v.Name), inForcePrefix+v.Name
+		if f.Revision < v.Revision && f.Revision > have[name] {
+			vs = append(vs, Value{name, f.Revision, f.Data})
+		}
+	}
+	for i, v := range vs {
+		size -= len(v.Data)
+		if size < 0 && i > 0 {
+			return vs[:i]
+		}
+	}
+	return vs
+}
+
+func (s *values) copyOf(name string) Value {
+	if f := s.inForce[name]; f.Revision >= s.copies[name].Revision {
+		return f
+	}
+	return s.copies[name]
+}
+
+func sorted(m map[string]Value) []Value {
+	vs := make([]Value, 0, len(m))
+	for _, v := range m {
+		vs = append(vs, v)
+	}
+	slices.SortFunc(vs, func(a, b Value) int { return strings.Compare(a.Name, b.Name) })
+	return vs
+}
+
+func same(a, b map[string]Value) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, v := range a {
+		if b[name].Revision != v.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// hashRevision makes a digest that does not depend on the order of values.
+func hashRevision(v Value) uint64 {
+	b := binary.BigEndian.AppendUint64([]byte(v.Name), uint64(v.Revision))
+	return xxhash.Sum64(b)
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -3,6 +3,15 @@
 //
 // The core takes messages and the time and returns effects; Task puts sockets
 // and timers round it. Others read the current View and never change it.
+//
+// # Usage
+//
+//	t := &fleet.Task{Self: self, Config: c, VMs: l, Peers: p, Now: time.Now, Parse: parse}
+//	changed := t.Changed()
+//	go t.Run(ctx)
+//	for range changed {
+//		v := t.View()
+//	}
 package fleet
 
 import (
@@ -69,4 +78,7 @@
 	// ConfirmedAt is when the configuration service last confirmed the table,
 	// as far as this process has heard.
 	ConfirmedAt time.Time
+	// Paused says that this process was paused and has heard from nobody since.
+	// It neither dispatches nor grants.
+	Paused bool
 }
