Prove order, shedding and refusing by sessions and random messages

Cause: the core's rules on tiers, fair shares, shedding, leaving, data centre out, pauses, lapses and solo offers stood without a test. Found by the random sessions: when a full queue evicted the solo offer that the rest drained for, a slot stayed free until the next message. The core now schedules again after an eviction. Change: golden sessions of each rule, 100 seeded random sessions held against a model from outside, and a benchmark of a request's life at 1,000 parked offers.

--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,39 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// BenchmarkHandle is one request's life at a full upstream with 1,000 offers
+// parked: four messages, one of which chooses the next grant.
+func BenchmarkHandle(b *testing.B) {
+	const waiting = 1000
+	row := table.Upstream{Limit: 32, ColdLimit: 32, State: table.In}
+	c := &Core{Upstream: row, MaxParked: 2 * waiting}
+	classes := []table.Class{booth, notice, summary}
+	now := epoch
+	next := OfferID(0)
+	offer := func() {
+		next++
+		c.Handle(now, Offered{
+			ID: next, Account: table.AccountName(fmt.Sprint("account_", next%200)),
+			Class: classes[next%3], Weight: 1, Arrived: now, Deadline: now.Add(time.Hour),
+		})
+	}
+	for c.State().Parked < waiting {
+		offer()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		offer()
+		id := c.inFlight[0].ID
+		c.Handle(now, BodyCame{ID: id})
+		c.Handle(now, FirstTokenCame{ID: id, After: 100 * time.Millisecond})
+		c.Handle(now, Finished{ID: id, Clean: true, Tokens: 50, TokenGap: 20 * time.Millisecond})
+	}
+}
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -101,7 +101,7 @@
 }
 
 // settle parks an offer that got no grant at once, or makes room for it.
-func (c *Core) settle() {
+func (c *Core) settle(now time.Time) {
 	o := c.arrived
 	if o == nil || o.phase != parked {
 		return
@@ -117,7 +117,11 @@
 		return
 	}
 	c.refuse(victim.ID, result.SidecarEvicted, queueRetryAfter)
-	c.emit(Park{ID: o.ID})
+	// The victim may have been the solo offer that the rest drained for.
+	c.schedule(now)
+	if o.phase == parked {
+		c.emit(Park{ID: o.ID})
+	}
 }
 
 func (c *Core) withdrawn(m Withdrawn) {
--- /dev/null
+++ b/internal/admission/order_test.go
@@ -0,0 +1,233 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+func TestTierOrderAndStarvation(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 1)
+	s.run()
+	s.offer(summary, "ward", 3)
+	s.offer(notice, "ward", 1)
+	s.offer(booth, "vendor", 2)
+	s.note("strict by tier while nobody waited too long")
+	s.finish(1, clean(notice))
+	s.finish(1, clean(booth))
+	s.note("after 6 s tier 3 gets one grant in four while the flood goes on")
+	s.wait(6 * time.Second)
+	summaries := 0
+	for range 10 {
+		s.offer(booth, "vendor", 1)
+		s.finish(1, clean(booth))
+		if s.core.inFlight[0].Class.Name == summary.Name {
+			summaries++
+		}
+	}
+	assert.Equal(t, summaries, 3)
+	s.golden()
+}
+
+func TestFairSharesAndDeadlines(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.core.FairSlack = 1
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 1)
+	s.run()
+	heavy := func(account table.AccountName, weight table.Weight, n int) {
+		for range n {
+			s.next++
+			s.send(Offered{ID: s.next, Account: account, Class: notice, Weight: weight, Arrived: s.now, Cost: 50})
+		}
+	}
+	s.note("a large account floods first; a small one and one of weight 2 come after")
+	heavy("large", 1, 12)
+	heavy("small", 1, 4)
+	heavy("double", 2, 8)
+	s.note("each gets its part: one of large and small for two of double")
+	got := map[table.AccountName]int{}
+	for range 16 {
+		s.finish(1, clean(notice))
+		got[s.core.inFlight[0].Account]++
+	}
+	assert.DeepEqual(t, got, map[table.AccountName]int{"large": 4, "small": 4, "double": 8})
+	s.golden()
+}
+
+func TestEarliestDueFirstLateAfter(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 1)
+	s.run()
+	urgent := notice
+	urgent.Name, urgent.FirstToken = "urgent", time.Second
+	s.offer(urgent, "ward", 2)
+	s.wait(2 * time.Second)
+	s.note("102 and 103 are late by now and go after what can be in time, the oldest first")
+	s.offer(notice, "ward", 1)
+	s.wait(100 * time.Millisecond)
+	s.offer(urgent, "ward", 1)
+	var order []OfferID
+	for range 4 {
+		s.finish(1, clean(notice))
+		order = append(order, s.running()[0])
+	}
+	assert.DeepEqual(t, order, []OfferID{105, 104, 102, 103})
+	s.note("late is not shed, but past its deadline an offer is refused")
+	s.offer(booth, "vendor", 1)
+	s.wait(20 * time.Second)
+	s.send(Ticked{})
+	s.golden()
+}
+
+func TestShedding(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.core.MaxParked = 3
+	s.warmQuietly(notice)
+	s.offer(summary, "ward", 1)
+	s.run()
+	s.offer(summary, "ward", 2)
+	s.offer(notice, "ward", 1)
+	s.note("the queue is full: the lowest tier is refused, the newest first")
+	s.offer(summary, "ward", 1)
+	s.offer(booth, "vendor", 2)
+	s.note("now tier 2 is the lowest that waits")
+	s.offer(notice, "ward", 1)
+	s.offer(booth, "vendor", 1)
+	s.note("nothing lower waits")
+	s.offer(booth, "vendor", 1)
+	s.note("running work of the lowest tier was left alone")
+	assert.Assert(t, s.core.Runs(101))
+	s.golden()
+}
+
+func TestDataCentreOutAndBack(t *testing.T) {
+	s := newSession(t, 3, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 2)
+	s.run()
+	s.offer(notice, "ward", 3)
+	s.note("101 and 102 run, 103 is granted, 104 and 105 wait")
+	s.send(Configured{Upstream: s.core.Upstream, DataCentreOut: true})
+	s.send(BodyCame{ID: 103})
+	assert.Assert(t, !s.core.Runs(103))
+	s.offer(booth, "vendor", 1)
+	s.finish(1, clean(notice))
+	s.note("back in, and cold")
+	s.send(Configured{Upstream: s.core.Upstream})
+	s.offer(booth, "vendor", 2)
+	s.finish(1, clean(notice))
+	s.finish(1, clean(booth))
+	s.note("the same for the row")
+	row := s.core.Upstream
+	row.State = table.Out
+	s.send(Configured{Upstream: row})
+	s.offer(booth, "vendor", 1)
+	row.State = table.In
+	s.send(Configured{Upstream: row})
+	s.note("and for a bad health answer")
+	s.send(HealthChanged{Up: false})
+	s.offer(booth, "vendor", 1)
+	s.send(HealthChanged{Up: true})
+	s.golden()
+}
+
+func TestLeaving(t *testing.T) {
+	s := newSession(t, 3, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 2)
+	s.run()
+	s.offer(notice, "ward", 3)
+	s.send(LeaveAsked{})
+	s.note("nothing brings it back")
+	s.send(HealthChanged{Up: true, Restarted: true})
+	s.send(Configured{Upstream: s.core.Upstream})
+	s.send(PauseEnded{})
+	s.offer(booth, "vendor", 1)
+	s.send(LeaveAsked{})
+	s.note("running requests finish")
+	s.finish(2, clean(notice))
+	assert.Equal(t, s.core.State().Refusing, result.UpstreamLeaving)
+	assert.Equal(t, s.core.State().InFlight, 0)
+	s.golden()
+}
+
+func TestPause(t *testing.T) {
+	s := newSession(t, 3, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 1)
+	s.run()
+	s.offer(notice, "ward", 4)
+	s.note("the process sleeps for 10 s with two grants out; a body waits when it wakes")
+	s.wait(10 * time.Second)
+	s.send(PauseEnded{})
+	s.send(BodyCame{ID: 102})
+	assert.Assert(t, !s.core.Runs(102))
+	s.finish(1, clean(notice))
+	s.golden()
+}
+
+func TestLapseAndLateWithdraw(t *testing.T) {
+	s := newSession(t, 2, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 5)
+	s.note("101 is withdrawn in time, 102 lapses; both slots are free again")
+	s.send(Withdrawn{ID: 101})
+	s.send(BodyCame{ID: 103})
+	s.wait(DefaultGrantLapse)
+	s.send(Ticked{})
+	s.send(Withdrawn{ID: 102})
+	s.send(BodyCame{ID: 102})
+	s.note("a parked offer goes at once, a running one keeps its slot till its end")
+	s.send(Withdrawn{ID: 105})
+	s.run()
+	s.send(Withdrawn{ID: 103})
+	assert.Equal(t, s.core.State().InFlight, 2)
+	s.send(Finished{ID: 103, Cancelled: true})
+	s.send(Finished{ID: 103, Clean: true})
+	s.note("unknown, repeated and crossed messages change nothing")
+	s.send(BodyCame{ID: 104})
+	s.send(Finished{ID: 9})
+	s.send(FirstTokenCame{ID: 9})
+	s.next = 103
+	s.offer(notice, "ward", 1)
+	s.golden()
+}
+
+func TestSolo(t *testing.T) {
+	s := newSession(t, 3, 1)
+	s.warmQuietly(notice)
+	solo := func(class table.Class) OfferID {
+		s.next++
+		s.send(Offered{ID: s.next, Account: "suspect", Class: class, Arrived: s.now, Solo: true})
+		return s.next
+	}
+	s.offer(notice, "ward", 2)
+	s.run()
+	s.note("at the head a solo offer waits for the rest to drain, and nothing joins it")
+	first := solo(notice)
+	s.offer(summary, "ward", 1)
+	s.finish(2, clean(notice))
+	assert.DeepEqual(t, s.running(), []OfferID{first})
+	s.note("a higher tier waits only for it to end")
+	s.offer(booth, "vendor", 1)
+	s.finish(1, Finished{})
+	s.note("in a lower tier it does not hold up the higher one")
+	last := solo(summary)
+	s.offer(booth, "vendor", 1)
+	s.finish(2, clean(booth))
+	s.note("but after its bound it gets its turn, and drains for it")
+	s.wait(6 * time.Second)
+	s.offer(booth, "vendor", 2)
+	s.finish(1, clean(booth))
+	assert.DeepEqual(t, s.running(), []OfferID{last})
+	s.finish(1, clean(booth))
+	s.golden()
+}
--- /dev/null
+++ b/internal/admission/property_test.go
@@ -0,0 +1,360 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// model follows a core from the outside, by messages and effects alone, and
+// fails on the first step that breaks an invariant.
+type model struct {
+	t        *testing.T
+	random   *rand.Rand
+	core     *Core
+	now      time.Time
+	next     OfferID
+	row      table.Upstream
+	leaving  bool
+	centre   bool
+	down     bool
+	parked   map[OfferID]Offered
+	granted  map[OfferID]Offered
+	running  map[OfferID]Offered
+	lapses   map[OfferID]time.Time
+	turns    map[table.Tier]int
+	starved  map[table.Tier]int
+	ended    map[OfferID]bool
+	last     State
+	lastStep Message
+	// seen counts what the sessions reached.
+	seen map[string]int
+}
+
+const propertyParked = 12
+
+func newModel(t *testing.T, seed uint64, seen map[string]int) *model {
+	row := table.Upstream{Limit: 6, ColdLimit: 2, State: table.In}
+	return &model{
+		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: epoch, row: row,
+		core:   &Core{Upstream: row, MaxParked: propertyParked},
+		parked: map[OfferID]Offered{}, granted: map[OfferID]Offered{}, running: map[OfferID]Offered{},
+		lapses: map[OfferID]time.Time{}, ended: map[OfferID]bool{},
+		turns: map[table.Tier]int{}, starved: map[table.Tier]int{},
+		seen: seen, last: State{Limit: row.ColdLimit, Cold: true},
+	}
+}
+
+func (m *model) check(ok bool, format string, args ...any) {
+	m.t.Helper()
+	if !ok {
+		m.t.Fatalf("%s: after %T%+v at %s", fmt.Sprintf(format, args...), m.lastStep, m.lastStep, m.now.Sub(epoch))
+	}
+}
+
+func (m *model) refusing() result.Code {
+	switch {
+	case m.leaving:
+		return result.UpstreamLeaving
+	case m.centre:
+		return result.DataCentreOut
+	case m.row.State == table.Out:
+		return result.UpstreamOut
+	case m.down:
+		return result.UpstreamUnhealthy
+	}
+	return result.OK
+}
+
+// step sends a message and holds its effects against the model.
+func (m *model) step(msg Message) {
+	m.lastStep = msg
+	was := m.refusing()
+	offered, isOffer := msg.(Offered)
+	fresh := isOffer && !m.known(offered.ID)
+	if fresh {
+		m.parked[offered.ID] = offered
+	}
+	m.follow(msg)
+	answers, grants := 0, 0
+	for _, e := range m.core.Handle(m.now, msg) {
+		id := OfferID(0)
+		switch e := e.(type) {
+		case Grant:
+			id = e.ID
+			grants++
+			m.grant(e.ID)
+		case Park:
+			id = e.ID
+			m.check(m.has(m.parked, e.ID), "park %d", e.ID)
+		case Refuse:
+			id = e.ID
+			m.refuse(e)
+		}
+		if fresh && id == offered.ID {
+			answers++
+		}
+	}
+	m.check(!fresh || answers == 1, "%d answers to an offer", answers)
+	m.after(msg, was, grants)
+}
+
+// follow moves the model on the message itself.
+func (m *model) follow(msg Message) {
+	switch msg := msg.(type) {
+	case Withdrawn:
+		if m.has(m.parked, msg.ID) || m.has(m.granted, msg.ID) {
+			m.end(msg.ID)
+		}
+	case BodyCame:
+		if o, ok := m.granted[msg.ID]; ok && m.now.Before(m.lapses[msg.ID]) {
+			delete(m.granted, msg.ID)
+			m.running[msg.ID] = o
+		}
+	case Finished:
+		if m.has(m.running, msg.ID) || m.has(m.granted, msg.ID) {
+			m.end(msg.ID)
+		}
+	case Configured:
+		m.row, m.centre = msg.Upstream, msg.DataCentreOut
+	case HealthChanged:
+		m.down = !msg.Up
+	case LeaveAsked:
+		m.leaving = true
+	}
+}
+
+func (m *model) grant(id OfferID) {
+	o, ok := m.parked[id]
+	m.check(ok, "grant of %d, which does not wait", id)
+	m.check(m.refusing() == result.OK, "grant of %d while refusing", id)
+	tier := o.Class.Tier
+	for _, p := range m.parked {
+		if p.Class.Tier < tier {
+			m.check(m.overdue(o), "grant of tier %d before tier %d", tier, p.Class.Tier)
+			m.check(m.turns[tier] >= o.Class.StarvationShare-1, "tier %d had its turn %d grants ago", tier, m.turns[tier])
+			m.turns[tier] = -1
+			m.seen["turn"]++
+			break
+		}
+	}
+	for t := table.Tier(1); t <= 3; t++ {
+		m.turns[t]++
+		m.starved[t]++
+	}
+	m.starved[tier] = 0
+	delete(m.parked, id)
+	m.granted[id] = o
+	m.lapses[id] = m.now.Add(DefaultGrantLapse)
+	for t := table.Tier(1); t <= 3; t++ {
+		if !m.waitsOverdue(t) {
+			m.starved[t] = 0
+		}
+		m.check(m.starved[t] <= booth.StarvationShare+2, "tier %d starves", t)
+	}
+}
+
+func (m *model) refuse(e Refuse) {
+	o, waits := m.parked[e.ID]
+	m.check(waits || m.has(m.granted, e.ID), "refusal of %d, which neither waits nor is granted", e.ID)
+	switch e.Code {
+	case result.SidecarQueueFull, result.SidecarEvicted:
+		m.check(len(m.parked) > propertyParked, "shed with %d waiting", len(m.parked))
+		for _, p := range m.parked {
+			m.check(p.Class.Tier <= o.Class.Tier, "tier %d shed while tier %d waits", o.Class.Tier, p.Class.Tier)
+			m.check(p.Class.Tier != o.Class.Tier || !p.Arrived.After(o.Arrived) || p.ID == e.ID || o.ID == m.next,
+				"shed %d, which is not the newest", e.ID)
+		}
+	case result.DeadlinePassed:
+		m.check(waits && !m.now.Before(o.Deadline), "%d refused before its deadline", e.ID)
+	case result.GrantLapsed:
+		m.check(!waits && !m.now.Before(m.lapses[e.ID]), "%d lapsed early", e.ID)
+	case result.UpstreamUnhealthy:
+		m.check(m.down || !waits, "%d refused while healthy", e.ID)
+	default:
+		m.check(e.Code == m.refusing(), "refused by %s", e.Code)
+	}
+	m.seen[e.Code.String()]++
+	m.end(e.ID)
+}
+
+// after checks what must hold between messages.
+func (m *model) after(msg Message, was result.Code, grants int) {
+	s, old := m.core.State(), m.last
+	m.last = s
+	inFlight := len(m.granted) + len(m.running)
+	m.check(s.Refusing == m.refusing(), "state says %s", s.Refusing)
+	m.check(s.InFlight == inFlight && s.Parked == len(m.parked), "state counts %+v, %d and %d", s, inFlight, len(m.parked))
+	m.check(s.Limit >= 1 && s.Limit <= m.row.Limit, "limit %d of %d", s.Limit, m.row.Limit)
+	m.check(grants == 0 || inFlight <= s.Limit, "%d in flight over %d", inFlight, s.Limit)
+	m.check(s.Refusing == result.OK || len(m.parked)+len(m.granted) == 0, "offers kept while refusing")
+	solo := m.solo(m.granted) + m.solo(m.running)
+	m.seen["solo"] += solo
+	if !s.Cold && s.Limit == m.row.Limit {
+		m.seen["warm"]++
+	}
+	if !s.Cold && s.Limit < m.row.Limit {
+		m.seen["cut"]++
+	}
+	m.check(solo == 0 || inFlight == 1, "%d beside a solo offer", inFlight-1)
+	idle := s.Refusing == result.OK && len(m.parked) > 0 && inFlight < s.Limit
+	m.check(!idle || solo+m.solo(m.parked) > 0, "a slot is free while offers wait")
+	for id := range m.running {
+		m.check(m.core.Runs(id), "%d does not run", id)
+	}
+	finished, isFinished := msg.(Finished)
+	_, isConfigured := msg.(Configured)
+	if s.Cold && old.Cold && s.Limit > old.Limit {
+		m.check(isConfigured || (isFinished && finished.Clean), "cold limit grew")
+	}
+	health, _ := msg.(HealthChanged)
+	_, paused := msg.(PauseEnded)
+	back := was != result.OK && s.Refusing == result.OK
+	if health.Restarted || paused || back || (s.Cold && !old.Cold) {
+		m.check(s.Cold && s.Limit == min(m.row.ColdLimit, m.row.Limit), "not cold but %+v", s)
+	}
+}
+
+func (m *model) has(set map[OfferID]Offered, id OfferID) bool {
+	_, ok := set[id]
+	return ok
+}
+
+func (m *model) known(id OfferID) bool {
+	return m.has(m.parked, id) || m.has(m.granted, id) || m.has(m.running, id)
+}
+
+func (m *model) end(id OfferID) {
+	m.check(!m.ended[id], "%d ended twice", id)
+	m.ended[id] = true
+	delete(m.parked, id)
+	delete(m.granted, id)
+	delete(m.running, id)
+}
+
+func (m *model) overdue(o Offered) bool { return m.now.Sub(o.Arrived) > o.Class.MaxWait }
+
+func (m *model) waitsOverdue(t table.Tier) bool {
+	for _, o := range m.parked {
+		if o.Class.Tier == t && m.overdue(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) solo(set map[OfferID]Offered) int {
+	n := 0
+	for _, o := range set {
+		if o.Solo {
+			n++
+		}
+	}
+	return n
+}
+
+// message draws the next message; any may name an offer in the wrong phase.
+func (m *model) message() Message {
+	if m.refusing() != result.OK && m.random.IntN(20) == 0 {
+		return m.recover()
+	}
+	id := OfferID(m.random.Uint64N(uint64(m.next) + 2))
+	if ids := m.core.inFlight; len(ids) > 0 && m.random.IntN(10) > 0 {
+		id = ids[m.random.IntN(len(ids))].ID
+	}
+	switch n := m.random.IntN(1000); {
+	case n < 350:
+		return m.offer()
+	case n < 600:
+		return BodyCame{ID: id}
+	case n < 800:
+		gap := time.Duration(m.random.IntN(40)) * time.Millisecond
+		return Finished{
+			ID: id, Clean: m.random.IntN(10) > 0, Cancelled: m.random.IntN(20) == 0,
+			Tokens: table.Tokens(m.random.IntN(300)), TokenGap: gap,
+		}
+	case n < 850:
+		return FirstTokenCame{ID: id, After: time.Duration(m.random.IntN(400)) * time.Millisecond}
+	case n < 900:
+		return Withdrawn{ID: OfferID(m.random.Uint64N(uint64(m.next) + 2))}
+	case n < 985:
+		return Ticked{}
+	case n < 990:
+		row := table.Upstream{Limit: 1 + m.random.IntN(8), ColdLimit: 1 + m.random.IntN(3), State: table.In}
+		if m.random.IntN(4) == 0 {
+			row.State = table.Out
+		}
+		return Configured{Upstream: row, DataCentreOut: m.random.IntN(4) == 0}
+	case n < 997:
+		return HealthChanged{Up: m.random.IntN(3) > 0, Restarted: m.random.IntN(4) == 0}
+	}
+	return PauseEnded{}
+}
+
+// recover lifts one reason to refuse.
+func (m *model) recover() Message {
+	if m.down {
+		return HealthChanged{Up: true}
+	}
+	row := m.row
+	row.State = table.In
+	return Configured{Upstream: row}
+}
+
+func (m *model) offer() Offered {
+	classes := []table.Class{booth, booth, notice, summary}
+	accounts := []table.AccountName{"large", "large", "small", "ward"}
+	class := classes[m.random.IntN(len(classes))]
+	arrived := m.now.Add(-time.Duration(m.random.IntN(1000)) * time.Millisecond)
+	left := time.Duration(m.random.Int64N(int64(class.Deadline / 4)))
+	m.next++
+	return Offered{
+		ID: m.next, Account: accounts[m.random.IntN(len(accounts))], Class: class, Weight: 1,
+		Arrived: arrived, Deadline: m.now.Add(left), Solo: m.random.IntN(40) == 0,
+	}
+}
+
+func TestRandomSessions(t *testing.T) {
+	seen := map[string]int{}
+	for seed := range uint64(100) {
+		m := newModel(t, seed, seen)
+		for range 1500 {
+			m.now = m.now.Add(time.Duration(m.random.IntN(80)) * time.Millisecond)
+			if m.random.IntN(100) == 0 {
+				m.now = m.now.Add(3 * time.Second)
+			}
+			m.step(m.message())
+		}
+		m.step(LeaveAsked{})
+		for _, id := range runningOf(m.core) {
+			m.step(Finished{ID: id, Clean: true})
+		}
+		assert.Equal(t, len(m.ended), int(m.next), "seed %d: an offer has no end", seed)
+		assert.Equal(t, len(m.core.offers), 0)
+		for _, tier := range m.core.queue.tiers {
+			assert.Equal(t, len(tier.classes.members), 0, "seed %d: idle shares are kept", seed)
+		}
+	}
+	t.Log(seen)
+	reached := []string{
+		"turn", "solo", "warm", "cut", "grant_lapsed", "deadline_passed", "sidecar_queue_full",
+		"sidecar_evicted", "upstream_leaving", "data_centre_out", "upstream_out", "upstream_unhealthy",
+	}
+	for _, what := range reached {
+		assert.Assert(t, seen[what] > 0, "no session reached %s", what)
+	}
+}
+
+func runningOf(c *Core) []OfferID {
+	var ids []OfferID
+	for _, o := range c.inFlight {
+		ids = append(ids, o.ID)
+	}
+	return ids
+}
