Read configuration service and VM list over HTTP

Cause: the fleet task needs readers of the platform's two services. Ruled out: a client library of a particular service; the protocol is ours to stand in for, and another is one adapter behind two small interfaces. Change: bounded reads with a time limit, codes for each way to fail. Conclusion: a cut-off, oversized or redirected answer is an error, see TestBadAnswers.

--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Config reads the configuration service. It is a fleet.ConfigReader.
+type Config struct {
+	Client Client
+}
+
+// watchAnswer is the body of /v1/watch.
+type watchAnswer struct {
+	Revision table.Revision  `json:"revision"`
+	Changed  []changedRecord `json:"changed"`
+}
+
+type changedRecord struct {
+	Name     string         `json:"name"`
+	Revision table.Revision `json:"revision"`
+}
+
+// Watch gives the service's revision and the values above after.
+func (c *Config) Watch(ctx context.Context, after table.Revision, wait time.Duration) (table.Revision, []fleet.ValueRevision, error) {
+	a, err := c.Client.get(ctx, "/v1/watch", waitQuery(uint64(after), wait), wait, http.StatusOK)
+	if err != nil {
+		return 0, nil, err
+	}
+	var w watchAnswer
+	if err := json.Unmarshal(a.body, &w); err != nil {
+		return 0, nil, result.Errorf(result.ConfigUnreached, "read watch: %w", err)
+	}
+	var changed []fleet.ValueRevision
+	for _, r := range w.Changed {
+		changed = append(changed, fleet.ValueRevision{Name: r.Name, Revision: r.Revision})
+	}
+	return w.Revision, changed, nil
+}
+
+// Get gives a value. The error has result.NotFound if there is none.
+func (c *Config) Get(ctx context.Context, name string) (fleet.Value, error) {
+	a, err := c.Client.get(ctx, "/v1/values/"+url.PathEscape(name), nil, 0, http.StatusOK)
+	if err != nil {
+		return fleet.Value{}, err
+	}
+	n, err := parseUint("header Revision", a.header.Get("Revision"))
+	if err != nil {
+		return fleet.Value{}, result.Errorf(result.ConfigUnreached, "read value %s: %w", name, err)
+	}
+	return fleet.Value{Name: name, Revision: table.Revision(n), Data: a.body}, nil
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return Client{Base: s.URL}
+}
+
+func TestRead(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.RequestURI() {
+		case "/v1/watch?after=3&wait_ms=250":
+			fmt.Fprint(w, `{"revision":5,"changed":[{"name":"classes","revision":5}]}`)
+		case "/v1/values/classes":
+			w.Header().Set("Revision", "5")
+			fmt.Fprint(w, "class\n")
+		case "/v1/vms?after=0&wait_ms=0":
+			fmt.Fprint(w, `{"version":2,"vms":[{"vm":"vm_1","role":"gateway","data_centre":"vatva","address":"10.0.0.1:7000","state":"live"}]}`)
+		default:
+			w.WriteHeader(http.StatusNotModified)
+		}
+	}
+	ctx := context.Background()
+	c, v := &Config{Client: serve(t, h)}, &VMs{Client: serve(t, h)}
+	revision, changed, err := c.Watch(ctx, 3, 250*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, revision, table.Revision(5))
+	assert.DeepEqual(t, changed, []fleet.ValueRevision{{Name: "classes", Revision: 5}})
+	value, err := c.Get(ctx, "classes")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, value, fleet.Value{Name: "classes", Revision: 5, Data: []byte("class\n")})
+	l, err := v.List(ctx, 0, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, l, fleet.VMList{Version: 2, VMs: []fleet.VM{{
+		Name: "vm_1", Role: fleet.Gateway, DataCentre: "vatva", Address: "10.0.0.1:7000", State: fleet.Live,
+	}}})
+	l, err = v.List(ctx, 2, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Version, fleet.ListVersion(0))
+}
+
+// Whatever the service does wrong is an error with a code, and never a value.
+func TestBadAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		h    http.HandlerFunc
+		want result.Code
+	}{
+		{"down", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, result.ConfigUnreached},
+		{"none", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, result.NotFound},
+		{"limited", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(429) }, result.CallBudget},
+		{"no revision", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "x") }, result.ConfigUnreached},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Revision", "5")
+			if r.URL.Path == "/v1/values/a" {
+				http.Redirect(w, r, "/v1/values/b", http.StatusFound)
+			}
+		}, result.ConfigUnreached},
+		{"too large", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Revision", "5")
+			_, _ = w.Write(bytes.Repeat([]byte("x"), MaxBytes+1))
+		}, result.TableTooLarge},
+		{"cut off", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Revision", "5")
+			w.Header().Set("Content-Length", "10")
+			fmt.Fprint(w, "half")
+		}, result.ConfigUnreached},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &Config{Client: serve(t, tt.h)}
+			_, err := c.Get(context.Background(), "a")
+			assert.Equal(t, result.CodeOf(err), tt.want, "%v", err)
+		})
+	}
+	c := &VMs{Client: serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{") })}
+	_, err := c.List(context.Background(), 0, 0)
+	assert.Equal(t, result.CodeOf(err), result.VMListUnreached)
+}
+
+func TestGivesUp(t *testing.T) {
+	held := make(chan struct{})
+	c := &Config{Client: serve(t, func(http.ResponseWriter, *http.Request) { <-held })}
+	t.Cleanup(func() { close(held) })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Get(ctx, "a")
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+}
