Add the command line: check, codes, events, version

Cause: operators validate a table at their desk before the fleet sees it, and look codes and events up there. Ruled out: usage texts as go-flags descriptions, for it joins and wraps their lines by the width of the terminal; exit statuses chosen in each subcommand. Change: one list of subcommands, each a file with its usage text beside it; run gives the exit status and is what tests call; statuses stand in usage.txt and follow from the error alone.

--- a/cmd/jasminewing/main.go
+++ b/cmd/jasminewing/main.go
@@ -1,4 +1,109 @@
-// Command jasminewing routes language-model traffic.
+// Command jasminewing routes language-model traffic with service levels and
+// priorities.
+//
+// # Usage
+//
+//	jasminewing <command> [options]
+//
+// Each subcommand has a file of its own with its usage text beside it. To add
+// one, write its file and name it in the list subcommands.
 package main
 
-func main() {}
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const programName = "jasminewing"
+
+//go:embed usage.txt
+var programUsage string
+
+// subcommand is a subcommand of the program.
+type subcommand struct {
+	name string
+	// summary is its line in the list of commands.
+	summary string
+	// usage is printed after the list of options.
+	usage string
+	// command makes the struct that go-flags fills and runs.
+	command func(output) flags.Commander
+}
+
+// output is where a subcommand writes.
+type output struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// subcommands is all that the program can do.
+var subcommands = []subcommand{
+	checkSubcommand,
+	codesSubcommand,
+	eventsSubcommand,
+	versionSubcommand,
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run runs the program with its arguments and gives its exit status.
+func run(args []string, stdout, stderr io.Writer) int {
+	p, err := makeParser(output{stdout, stderr})
+	if err == nil {
+		_, err = p.ParseArgs(args)
+	}
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		writeHelp(stdout, p, f)
+		return statusFine
+	}
+	if err != nil {
+		writeError(stderr, err)
+	}
+	return statusOf(err)
+}
+
+func makeParser(o output) (*flags.Parser, error) {
+	p := flags.NewNamedParser(programName, flags.HelpFlag|flags.PassDoubleDash)
+	p.CommandHandler = execute
+	for _, s := range subcommands {
+		if _, err := p.AddCommand(s.name, s.summary, "", s.command(o)); err != nil {
+			return p, fmt.Errorf("add command %s: %w", s.name, err)
+		}
+	}
+	return p, nil
+}
+
+// execute runs a subcommand, which takes no other arguments than it declares.
+func execute(c flags.Commander, args []string) error {
+	if len(args) > 0 {
+		return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", args[0])}
+	}
+	return c.Execute(nil)
+}
+
+// writeHelp writes the options and then the usage text of the subcommand that
+// was asked about, or of the program.
+func writeHelp(w io.Writer, p *flags.Parser, help *flags.Error) {
+	usage := programUsage
+	for _, s := range subcommands {
+		if p.Active != nil && p.Active.Name == s.name {
+			usage = s.usage
+		}
+	}
+	fmt.Fprintf(w, "%s\n%s", help.Message, usage)
+}
+
+func writeError(w io.Writer, err error) {
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintf(w, "%s: %s\n", programName, strings.TrimSuffix(line, "\n"))
+	}
+}
