Run the stand-ins as processes, and load a gateway with checked answers

Cause: faults between processes need processes, and a policy needs a load that does not wait for the answers. Change: cmd/standin with engine, booking, platform and load; the load tool sends at times of its own, counts what its bound on concurrency left out as not attained, and compares each answer's words with those of its own body, so that a crossed or shortened answer counts as wrong. A stand-in that ends a request early now always breaks the connection: the server would have ended an empty answer as a whole one. Ruled out: reusing internal/engine for the load, since it drops the caller's Authorization.

--- /dev/null
+++ b/cmd/standin/booking.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/standin"
+)
+
+type bookingCommand struct {
+	process
+	Listen string        `long:"listen" default:"127.0.0.1:0" description:"IP:port to listen on"`
+	Delay  time.Duration `long:"delay" default:"20ms" description:"time that a booking takes"`
+}
+
+// Execute serves the bookings.
+func (c *bookingCommand) Execute([]string) error {
+	return c.serve([]server{{"listening", c.Listen, &standin.Booking{Delay: c.Delay}}})
+}
--- /dev/null
+++ b/cmd/standin/serve.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// server is a handler with the address that it is to have.
+type server struct {
+	// name is the first word of the line that tells the address.
+	name    string
+	address string
+	handler http.Handler
+}
+
+// serve runs servers, and tasks beside them, until the process is to end. What
+// is in flight then is cut off.
+func (p process) serve(servers []server, tasks ...func(context.Context) error) error {
+	listeners := make([]net.Listener, len(servers))
+	for i, s := range servers {
+		l, err := listen(s.address)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		listeners[i] = l
+	}
+	for i, s := range servers {
+		if _, err := fmt.Fprintf(p.out, "%s %s\n", s.name, listeners[i].Addr()); err != nil {
+			return fmt.Errorf("print address: %w", err)
+		}
+	}
+	group, ctx := errgroup.WithContext(p.ctx)
+	for i, s := range servers {
+		h := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
+		group.Go(func() error {
+			if err := h.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", s.name, err)
+			}
+			return nil
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			return h.Close()
+		})
+	}
+	for _, task := range tasks {
+		group.Go(func() error { return task(ctx) })
+	}
+	return group.Wait()
+}
+
+func listen(address string) (net.Listener, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, fmt.Errorf("listen on %q: IP:port is expected: %w", address, err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -216,6 +216,7 @@
 		case <-timer.C:
 			over = true
 		case <-r.Context().Done():
+			cut(w)
 			return
 		}
 	}
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -62,9 +62,10 @@
 	end := run.serve(r.Context(), w)
 	dead := e.finish(run, end)
 	switch {
-	case end == aborted && dead:
+	case dead:
 		reset(w)
-	case end == aborted:
+	case end != whole:
+		// The server would end a stream, or an empty answer, as if it were whole.
 		cut(w)
 	}
 }
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Mix is one kind of requests of a Load.
+type Mix struct {
+	// Class is named in the header ClassHeader of the Load, if not empty.
+	Class table.ClassName
+	Key   string
+	Model table.ServiceName
+	// Share is relative to the other mixes.
+	Share table.Weight
+	// FirstToken is the target that a request must meet to count as attained.
+	FirstToken time.Duration
+	// MaxTokens is asked for; zero leaves the length to the engine.
+	MaxTokens int
+}
+
+// Load sends requests of the OpenAI shape to a gateway, at times that do not
+// depend on the answers, and checks that each caller gets its own answer whole.
+// The check expects the stand-in engine behind the gateway.
+type Load struct {
+	Gateway fleet.Address
+	// Rate is in requests a second.
+	Rate     float64
+	Duration time.Duration
+	Mixes    []Mix
+	// Streamed is the share of requests that ask for a stream.
+	Streamed float64
+	// Concurrency is the most requests in flight; those due beyond it are not
+	// sent and count as not attained.
+	Concurrency int
+	// ClassHeader is the header that names the class.
+	ClassHeader string
+	Seed        uint64
+	// Transport carries the requests; nil for one of its own.
+	Transport http.RoundTripper
+
+	mu     sync.Mutex
+	report LoadReport
+}
+
+// LoadReport is what came of a Load.
+type LoadReport struct {
+	Classes map[table.ClassName]*ClassReport `json:"classes"`
+	// Codes counts the result codes of the answers that were not whole, or the
+	// HTTP status where there was none.
+	Codes   map[string]int `json:"codes"`
+	Seconds float64        `json:"seconds"`
+}
+
+// ClassReport is what came of the requests of one class.
+type ClassReport struct {
+	Due     int `json:"due"`
+	NotSent int `json:"not_sent"`
+	Whole   int `json:"whole"`
+	// Wrong are whole answers that were another request's, or a part.
+	Wrong int `json:"wrong"`
+	Met   int `json:"met"`
+	// Attainment is the share of the due that was whole, right and in time.
+	Attainment float64 `json:"attainment"`
+	// Goodput is in tokens a second of answers that met their target.
+	Goodput float64 `json:"goodput_tokens_per_second"`
+	// FirstTokenP50 and FirstTokenP99 are of whole answers, in milliseconds.
+	FirstTokenP50 float64 `json:"first_token_p50_ms"`
+	FirstTokenP99 float64 `json:"first_token_p99_ms"`
+
+	tokens int
+	firsts []time.Duration
+}
+
+type loadRequest struct {
+	Model     table.ServiceName `json:"model"`
+	MaxTokens int               `json:"max_tokens,omitempty"`
+	Stream    bool              `json:"stream,omitempty"`
+	Messages  []completionText  `json:"messages"`
+}
+
+// Run sends the load and waits for the last answer or the end of ctx.
+func (l *Load) Run(ctx context.Context) (LoadReport, error) {
+	if l.Rate <= 0 || l.Concurrency <= 0 || len(l.Mixes) == 0 {
+		return LoadReport{}, fmt.Errorf("run load: rate, concurrency and mixes must be set")
+	}
+	if l.Transport == nil {
+		t := &http.Transport{MaxIdleConnsPerHost: l.Concurrency, DisableCompression: true}
+		defer t.CloseIdleConnections()
+		l.Transport = t
+	}
+	l.report = LoadReport{Classes: map[table.ClassName]*ClassReport{}, Codes: map[string]int{}}
+	start := time.Now()
+	l.send(ctx, start)
+	l.report.Seconds = time.Since(start).Seconds()
+	for _, c := range l.report.Classes {
+		c.sum(l.report.Seconds)
+	}
+	return l.report, nil
+}
+
+func (l *Load) send(ctx context.Context, start time.Time) {
+	random := rand.New(rand.NewPCG(l.Seed, l.Seed))
+	slots := make(chan struct{}, l.Concurrency)
+	var g sync.WaitGroup
+	defer g.Wait()
+	due := start
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second)))
+		if due.Sub(start) > l.Duration || !until(ctx, due) {
+			return
+		}
+		m := l.pick(random)
+		streamed := random.Float64() < l.Streamed
+		select {
+		case slots <- struct{}{}:
+			g.Go(func() {
+				defer func() { <-slots }()
+				l.record(m, l.one(ctx, m, n, streamed))
+			})
+		default:
+			l.record(m, loadResult{notSent: true})
+		}
+	}
+}
+
+func until(ctx context.Context, due time.Time) bool {
+	t := time.NewTimer(time.Until(due))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Load) pick(random *rand.Rand) Mix {
+	sum := 0
+	for _, m := range l.Mixes {
+		sum += max(1, int(m.Share))
+	}
+	at := random.IntN(sum)
+	for _, m := range l.Mixes {
+		if at -= max(1, int(m.Share)); at < 0 {
+			return m
+		}
+	}
+	return l.Mixes[0]
+}
+
+// one sends one request and reads its answer.
+func (l *Load) one(ctx context.Context, m Mix, n int, streamed bool) loadResult {
+	body, err := json.Marshal(loadRequest{
+		Model: m.Model, MaxTokens: m.MaxTokens, Stream: streamed,
+		Messages: []completionText{{Role: "user", Content: fmt.Sprintf("load %d %d", l.Seed, n)}},
+	})
+	if err != nil {
+		return loadResult{code: "bad_request"}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(l.Gateway)+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return loadResult{code: "bad_request"}
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+m.Key)
+	if l.ClassHeader != "" && m.Class != "" {
+		r.Header.Set(l.ClassHeader, string(m.Class))
+	}
+	start := time.Now()
+	resp, err := l.Transport.RoundTrip(r)
+	if err != nil {
+		return loadResult{code: "unreached"}
+	}
+	defer resp.Body.Close()
+	out := readLoadAnswer(resp, start)
+	out.right = out.whole && rightAnswer(body, out.text, m.MaxTokens)
+	return out
+}
+
+// rightAnswer says whether a text is the whole answer to the body. The first
+// word is the gateway's id of the request and not checked.
+func rightAnswer(body []byte, text string, maxTokens int) bool {
+	got := strings.Fields(text)
+	if maxTokens > 0 && len(got) != maxTokens || len(got) == 0 {
+		return false
+	}
+	want := Words(body, "", len(got), 0, 0)
+	for i := 1; i < len(got); i++ {
+		if got[i] != strings.TrimSpace(want[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Load) record(m Mix, r loadResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.report.Classes[m.Class]
+	if c == nil {
+		c = &ClassReport{}
+		l.report.Classes[m.Class] = c
+	}
+	c.Due++
+	switch {
+	case r.notSent:
+		c.NotSent++
+		return
+	case !r.whole:
+		l.report.Codes[r.code]++
+		return
+	}
+	c.Whole++
+	c.firsts = append(c.firsts, r.firstToken)
+	if !r.right {
+		c.Wrong++
+	} else if m.FirstToken == 0 || r.firstToken <= m.FirstToken {
+		c.Met++
+		c.tokens += len(strings.Fields(r.text))
+	}
+}
--- /dev/null
+++ b/internal/standin/load_stream.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// readLoadStream reads a stream as a careful caller does: it is whole only with
+// its end mark and a clean end of the connection's answer.
+func readLoadStream(resp *http.Response, start time.Time) loadResult {
+	var out loadResult
+	var text strings.Builder
+	done := false
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxBodyBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var e loadEvent
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return loadResult{code: "bad_stream"}
+		}
+		if e.Error != nil {
+			return loadResult{code: e.code(resp.StatusCode)}
+		}
+		if out.firstToken == 0 {
+			out.firstToken = time.Since(start)
+		}
+		text.WriteString(e.text())
+	}
+	out.text = text.String()
+	out.whole = done && lines.Err() == nil
+	if !out.whole {
+		out.code = "cut_off"
+	}
+	return out
+}
+
+// sum fills in what is computed from the counts.
+func (c *ClassReport) sum(seconds float64) {
+	c.Attainment = float64(c.Met) / float64(c.Due)
+	c.Goodput = float64(c.tokens) / seconds
+	slices.Sort(c.firsts)
+	c.FirstTokenP50 = quantile(c.firsts, 0.5)
+	c.FirstTokenP99 = quantile(c.firsts, 0.99)
+}
+
+// quantile gives the value in milliseconds that the share q does not exceed.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return float64(sorted[max(0, i)]) / float64(time.Millisecond)
+}
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -145,6 +145,7 @@
 		case <-timer.C:
 			over = true
 		case <-r.Context().Done():
+			cut(w)
 			return
 		}
 	}
