--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	readBytes   = 32 << 10
+	readBytes   = 8 << 10
 	eventStream = "text/event-stream"
 )
 
