Test that a request that ends early has no answer

Change: a test over the engine and both watches. Conclusion: with the cut taken out the test is red.

--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -215,3 +216,26 @@
 		}
 	})
 }
+
+// A server would send an empty answer for a handler that just returns, so a
+// request whose time is up breaks the connection.
+func TestEndedEarlyIsNoAnswer(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	handlers := map[string]http.Handler{
+		"/v1/completions":       &Engine{FirstToken: time.Hour},
+		"/v1/watch?wait_ms=900": (&Config{}).Service(),
+		"/v1/vms?wait_ms=900":   (&VMs{}).Service(),
+	}
+	for target, h := range handlers {
+		method := http.MethodGet
+		if strings.HasSuffix(target, "completions") {
+			method = http.MethodPost
+		}
+		r := httptest.NewRequestWithContext(ctx, method, target, strings.NewReader("{}"))
+		func() {
+			defer func() { assert.Equal(t, recover(), http.ErrAbortHandler, target) }()
+			h.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+	}
+}
