Test that the load tool wants a stream's end mark

Cause: a mutation that left the end mark out of the check stayed green. Change: one more answer in the golden report, a stream that ends without it.

--- a/internal/standin/load_test.go
+++ b/internal/standin/load_test.go
@@ -23,6 +23,12 @@
 	w.Write([]byte(`{"error":{"message":"x"},"code":3004}`))
 }
 
+// unmarked ends a stream without its end mark.
+func unmarked(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Write([]byte("data: {\"choices\":[{\"text\":\"[r1] \"}]}\n\n"))
+}
+
 func TestLoad(t *testing.T) {
 	engine := &Engine{Slots: 2, FirstToken: 100 * time.Millisecond, TokenGap: 20 * time.Millisecond}
 	falling := &Engine{ColdSlots: 1, WarmAfter: 1000, TokenGap: 20 * time.Millisecond}
@@ -34,6 +40,7 @@
 		{"cold engine", falling},
 		{"crossed", http.HandlerFunc(crossed)},
 		{"refusing", http.HandlerFunc(refusing)},
+		{"unmarked", http.HandlerFunc(unmarked)},
 	}
 	var text []byte
 	for _, tt := range tests {
