Measure policies of dispatch in virtual time

Cause: no figure said whether offer and grant beats a plain push, nor where the cores fall short of their targets. Ruled out: real processes (minutes of wall time for each cell, no fixed seed gives the same run twice), and an event for each token (some 4000 a second an engine): the engine keeps one progress for its whole batch instead. Change: internal/measure runs the cores of dispatch and admission round small fake engines in one event loop; `standin measure` prints the tables and the targets that were missed.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,6 +7,7 @@
 //	standin booking --listen 127.0.0.1:8002
 //	standin platform --listen 127.0.0.1:8003 --directory examples/table
 //	standin load --gateway 127.0.0.1:8080 --mix class=chat,key=KEY,model=m
+//	standin measure --seed-from 101 --seeds 5
 //
 // Each server prints `listening ADDRESS` as its first line, and ends on SIGTERM.
 package main
@@ -53,6 +54,7 @@
 		{"booking", "Run a booking service", &bookingCommand{process: p}},
 		{"platform", "Run the configuration service and the VM list", &platformCommand{process: p}},
 		{"load", "Send load to a gateway", &loadCommand{process: p}},
+		{"measure", "Compare policies of dispatch in virtual time", &measureCommand{process: p}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.text, c.text+".", c.data); err != nil {
--- /dev/null
+++ b/cmd/standin/measure.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/measure"
+)
+
+type measureCommand struct {
+	process
+	Examples   string        `long:"examples" default:"examples" description:"directory of the deployments' tables"`
+	SeedFrom   uint64        `long:"seed-from" default:"101" description:"first seed"`
+	Seeds      uint64        `long:"seeds" default:"5" description:"number of seeds"`
+	Load       []string      `long:"load" description:"only the load of this name; may be repeated"`
+	Policy     []string      `long:"policy" description:"only the policy of this name; may be repeated"`
+	Parallel   int           `long:"parallel" default:"4" description:"runs at once"`
+	WidenAfter time.Duration `long:"widen-after" description:"for late binding: how long an offer waits before another is made"`
+	MaxOpen    int           `long:"max-open" description:"for late binding: offers that wait at once"`
+}
+
+// Execute runs the comparison and prints its tables.
+func (c *measureCommand) Execute([]string) error {
+	deployments, err := measure.ReadDeployments(c.Examples)
+	if err != nil {
+		return err
+	}
+	seeds := make([]uint64, c.Seeds)
+	for i := range seeds {
+		seeds[i] = c.SeedFrom + uint64(i)
+	}
+	cells := measure.Comparison{
+		Deployments: deployments,
+		Loads:       only(measure.Loads(), c.Load, func(l measure.Load) string { return l.Name }),
+		Policies:    only(c.policies(), c.Policy, func(p measure.Policy) string { return p.Name }),
+		Seeds:       seeds,
+		Parallel:    c.Parallel,
+	}.Run()
+	if len(cells) == 0 || len(seeds) == 0 {
+		return fmt.Errorf("nothing to measure")
+	}
+	return measure.WriteMarkdown(c.out, cells)
+}
+
+func (c *measureCommand) policies() []measure.Policy {
+	all := measure.Policies()
+	for i := range all {
+		all[i].WidenAfter = c.WidenAfter
+		all[i].MaxOpen = c.MaxOpen
+	}
+	return all
+}
+
+// only keeps what is named; all of it where nothing is.
+func only[T any](all []T, names []string, name func(T) string) []T {
+	if len(names) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(x T) bool { return !slices.Contains(names, name(x)) })
+}
--- /dev/null
+++ b/internal/measure/comparison.go
@@ -0,0 +1,122 @@
+package measure
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Comparison is all policies under all loads, each with the same seeds.
+type Comparison struct {
+	Deployments []*Deployment
+	Loads       []Load
+	Policies    []Policy
+	Seeds       []uint64
+	// Parallel is how many runs go on at once.
+	Parallel int
+}
+
+// Cell holds the scores of one policy under one load, in the order of the seeds.
+type Cell struct {
+	Deployment *Deployment
+	Load       Load
+	Policy     Policy
+	Scores     []*Score
+}
+
+// Run gives the cells by deployment, load and policy.
+func (c Comparison) Run() []Cell {
+	var cells []Cell
+	for _, d := range c.Deployments {
+		for _, l := range c.Loads {
+			for _, p := range c.Policies {
+				cells = append(cells, Cell{d, l, p, make([]*Score, len(c.Seeds))})
+			}
+		}
+	}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, max(c.Parallel, 1))
+	for _, cell := range cells {
+		for i, seed := range c.Seeds {
+			slots <- struct{}{}
+			group.Go(func() {
+				cell.Scores[i] = Run{Deployment: cell.Deployment, Load: cell.Load, Policy: cell.Policy, Seed: seed}.Score()
+				<-slots
+			})
+		}
+	}
+	group.Wait()
+	return cells
+}
+
+// Range is the median and the worst of a figure over the seeds.
+type Range struct{ Median, Worst float64 }
+
+// spread sorts the figures from good to bad.
+func (c Cell) spread(figure func(*Score) float64, highIsGood bool) Range {
+	var all []float64
+	for _, s := range c.Scores {
+		all = append(all, figure(s))
+	}
+	slices.Sort(all)
+	if highIsGood {
+		slices.Reverse(all)
+	}
+	return Range{Median: all[len(all)/2], Worst: all[len(all)-1]}
+}
+
+// Attained is a class's share of calls that were good.
+func (c Cell) Attained(class table.ClassName) Range {
+	return c.spread(func(s *Score) float64 { return s.Classes[class].Share() }, true)
+}
+
+// Goodput is tokens a second.
+func (c Cell) Goodput() Range {
+	return c.spread(func(s *Score) float64 { return s.Goodput }, true)
+}
+
+// Wasted is the share of generated tokens.
+func (c Cell) Wasted() Range {
+	return c.spread((*Score).Wasted, false)
+}
+
+// Wait is the longest wait of the lowest tier.
+func (c Cell) Wait() (median, worst time.Duration) {
+	r := c.spread(func(s *Score) float64 { return float64(s.LongestWait) }, false)
+	return time.Duration(r.Median), time.Duration(r.Worst)
+}
+
+// Count gives the median and the highest of a count.
+func (c Cell) Count(count func(*Score) int) Range {
+	return c.spread(func(s *Score) float64 { return float64(count(s)) }, false)
+}
+
+// MissCount is how often calls were not good for one reason, over all seeds.
+type MissCount struct {
+	Miss
+	Count int
+}
+
+// Misses gives the reasons why calls of a class were not good, the commonest
+// first.
+func (c Cell) Misses(class table.ClassName) []MissCount {
+	sums := make(map[Miss]int)
+	for _, s := range c.Scores {
+		for m, n := range s.Misses {
+			if m.Class == class {
+				sums[m] += n
+			}
+		}
+	}
+	var all []MissCount
+	for m, n := range sums {
+		all = append(all, MissCount{m, n})
+	}
+	slices.SortFunc(all, func(a, b MissCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Cause, b.Cause), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return all
+}
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,209 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Traffic is what callers send of one class.
+type Traffic struct {
+	Class table.ClassName
+	// Share is its part of the capacity of all engines in the steady load;
+	// zero for plain services.
+	Share float64
+	// Rate is its requests a second, for plain services.
+	Rate float64
+	// Median and Sigma make the length of answers in tokens: lognormal, cut
+	// off at the class's MaxTokens.
+	Median, Sigma float64
+	// Services are asked for in turn by chance.
+	Services []table.ServiceName
+}
+
+// Deployment is a table and the traffic on it.
+type Deployment struct {
+	Name    string
+	Table   *table.Table
+	Traffic []Traffic
+	// Between is the time one way between two data centres.
+	Between time.Duration
+	// Burst is the class that bursts.
+	Burst table.ClassName
+}
+
+// withinDataCentre is the time one way between two VMs of a data centre.
+const withinDataCentre = 200 * time.Microsecond
+
+// steadyLoad is the load that the traffic's shares add up to.
+const steadyLoad = 0.7
+
+var deployments = []Deployment{
+	{
+		Name: "pitchline", Between: 1200 * time.Microsecond, Burst: "vendor_notice",
+		Traffic: []Traffic{
+			{Class: "booth_question", Share: 0.20, Median: 40, Sigma: 0.7, Services: []table.ServiceName{"pitch-small"}},
+			{Class: "vendor_notice", Share: 0.25, Median: 150, Sigma: 0.8, Services: []table.ServiceName{"pitch-small"}},
+			{Class: "season_summary", Share: 0.25, Median: 500, Sigma: 0.9, Services: []table.ServiceName{"pitch-large"}},
+			{Class: "pitch_booking", Rate: 10},
+			{Class: "pitch_lookup", Rate: 30},
+		},
+	},
+	{
+		Name: "ahmedabad", Between: 500 * time.Microsecond, Burst: "relocation_manifest",
+		Traffic: []Traffic{
+			{Class: "crate_label", Share: 0.15, Median: 20, Sigma: 0.6, Services: []table.ServiceName{"label-mini"}},
+			{Class: "relocation_manifest", Share: 0.30, Median: 600, Sigma: 0.9, Services: []table.ServiceName{"manifest-large", "manifest-base"}},
+			{Class: "inventory_check", Share: 0.25, Median: 1200, Sigma: 0.9, Services: []table.ServiceName{"manifest-large", "manifest-base"}},
+			{Class: "crate_booking", Rate: 10},
+			{Class: "crate_lookup", Rate: 40},
+		},
+	},
+}
+
+// ReadDeployments reads the tables of all deployments below a directory.
+func ReadDeployments(directory string) ([]*Deployment, error) {
+	var all []*Deployment
+	for _, d := range deployments {
+		t, err := readTable(filepath.Join(directory, d.Name))
+		if err != nil {
+			return nil, fmt.Errorf("read deployment %s: %w", d.Name, err)
+		}
+		d.Table = t
+		all = append(all, &d)
+	}
+	return all, nil
+}
+
+func readTable(directory string) (*table.Table, error) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.csv"))
+	if err != nil {
+		return nil, err
+	}
+	var sections []table.Section
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return nil, err
+		}
+		sections = append(sections, table.Section{Name: strings.TrimSuffix(filepath.Base(p), ".csv"), Data: data})
+	}
+	t, faults := table.Parse(sections)
+	if len(faults) > 0 {
+		return nil, faults[0]
+	}
+	return t, nil
+}
+
+// upstreams gives the rows by name.
+func (d *Deployment) upstreams() []table.Upstream {
+	var rows []table.Upstream
+	for _, u := range d.Table.Upstreams {
+		rows = append(rows, u)
+	}
+	slices.SortFunc(rows, func(a, b table.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	return rows
+}
+
+// dataCentres gives the names in order.
+func (d *Deployment) dataCentres() []table.DataCentreName {
+	var names []table.DataCentreName
+	for n := range d.Table.DataCentres {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// slots is the capacity of all engines, in requests that run at once.
+func (d *Deployment) slots() float64 {
+	n := 0
+	for _, u := range d.Table.Upstreams {
+		if u.Kind == table.Engine {
+			n += u.Limit
+		}
+	}
+	return float64(n)
+}
+
+// rate turns a share of the capacity into requests a second.
+func (d *Deployment) rate(t Traffic, share float64) float64 {
+	full := float64(gapAlone + gapPerFill)
+	work := time.Duration(d.meanTokens(t)*full) + firstTokenTime
+	return share * d.slots() / work.Seconds()
+}
+
+// meanTokens is the mean length of the class's answers.
+func (d *Deployment) meanTokens(t Traffic) float64 {
+	const draws = 20000
+	random := rand.New(rand.NewPCG(1, 1))
+	sum := 0.0
+	for range draws {
+		sum += float64(d.tokens(t, random))
+	}
+	return sum / draws
+}
+
+// tokens draws the length of an answer.
+func (d *Deployment) tokens(t Traffic, random *rand.Rand) table.Tokens {
+	if t.Median == 0 {
+		return 1
+	}
+	n := t.Median * math.Exp(t.Sigma*random.NormFloat64())
+	return table.Tokens(max(1, min(n, float64(d.Table.Classes[t.Class].MaxTokens))))
+}
+
+// accounts gives the client accounts that may use a class, by name.
+func (d *Deployment) accounts(class table.ClassName) []table.Account {
+	var all []table.Account
+	for _, a := range d.Table.Accounts {
+		if slices.Contains(a.Classes, class) {
+			all = append(all, a)
+		}
+	}
+	slices.SortFunc(all, func(a, b table.Account) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// lowest gives the classes of the lowest tier.
+func (d *Deployment) lowest() []table.Class {
+	var tier table.Tier
+	for _, c := range d.Table.Classes {
+		tier = max(tier, c.Tier)
+	}
+	var classes []table.Class
+	for _, c := range d.Table.Classes {
+		if c.Tier == tier {
+			classes = append(classes, c)
+		}
+	}
+	return classes
+}
+
+// mostPassed is how many grants in a row may go to higher tiers while the
+// lowest waits past its bound: N-1 of its one grant in N, and one more for each
+// higher tier, whose own turn goes first.
+func (d *Deployment) mostPassed() int {
+	n := 0
+	for _, c := range d.lowest() {
+		n = max(n, c.StarvationShare-1+int(c.Tier)-1)
+	}
+	return n
+}
+
+// leastMaxWait is the shortest MaxWait of the lowest tier.
+func (d *Deployment) leastMaxWait() time.Duration {
+	wait := d.lowest()[0].MaxWait
+	for _, c := range d.lowest() {
+		wait = min(wait, c.MaxWait)
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,69 @@
+package measure
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func deployment(t *testing.T, name string) *Deployment {
+	t.Helper()
+	all, err := ReadDeployments("../../examples")
+	assert.NilError(t, err)
+	i := slices.IndexFunc(all, func(d *Deployment) bool { return d.Name == name })
+	assert.Assert(t, i >= 0)
+	return all[i]
+}
+
+func load(t *testing.T, name string) Load {
+	t.Helper()
+	all := Loads()
+	i := slices.IndexFunc(all, func(l Load) bool { return l.Name == name })
+	assert.Assert(t, i >= 0)
+	return all[i]
+}
+
+// short runs late binding through a minute and a half of virtual time.
+func short(d *Deployment, l Load, seed uint64) Run {
+	return Run{Deployment: d, Load: l, Policy: LateBinding, Seed: seed, WarmUp: 40 * time.Second, Window: 50 * time.Second}
+}
+
+// Late binding reaches its targets under faults.
+func TestTargets(t *testing.T) {
+	tests := []struct{ deployment, load string }{
+		{"pitchline", "straggler"},
+		{"pitchline", "crash"},
+		{"ahmedabad", "crash"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.deployment+" "+tt.load, func(t *testing.T) {
+			t.Parallel()
+			d, l := deployment(t, tt.deployment), load(t, tt.load)
+			c := Cell{Deployment: d, Load: l, Policy: LateBinding, Scores: []*Score{short(d, l, 7).Score()}}
+			for _, m := range MissedTargets([]Cell{c}, LateBinding.Name) {
+				t.Errorf("%s: %s: %s", m.Target, m.Seen, m.Why)
+			}
+			for _, class := range d.Traffic {
+				assert.Assert(t, c.Scores[0].Classes[class.Class].Calls > 0, class.Class)
+			}
+		})
+	}
+}
+
+// One seed gives one score.
+func TestSameSeedSameScore(t *testing.T) {
+	t.Parallel()
+	d, l := deployment(t, "pitchline"), load(t, "crash")
+	score := func(seed uint64) *Score {
+		r := short(d, l, seed)
+		r.WarmUp, r.Window = 5*time.Second, 31*time.Second
+		return r.Score()
+	}
+	first, second := score(3), score(3)
+	assert.DeepEqual(t, first.Classes, second.Classes)
+	assert.Equal(t, first.Generated, second.Generated)
+	assert.Equal(t, first.LongestWait, second.LongestWait)
+	assert.Assert(t, score(4).Generated != first.Generated)
+}
