--- /dev/null
+++ b/cmd/jasminewing/demo.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"jasminewing.dev/jasminewing/internal/demo"
+)
+
+//go:embed demo_usage.txt
+var demoUsage string
+
+var demoSubcommand = subcommand{
+	name:    "demo",
+	summary: "run a whole deployment with stand-ins on loopback",
+	usage:   demoUsage,
+	command: func(o output) flags.Commander { return &demoCommand{output: o} },
+}
+
+// demoCommand runs the demo.
+type demoCommand struct {
+	Once  bool   `long:"once" description:"send one request of each kind, print the answers and exit"`
+	Table string `long:"table" value-name:"DIRECTORY" description:"directory of the table's CSV files; without it a small table is written to a new directory"`
+	Logs  bool   `long:"logs" description:"print the programs' log lines"`
+
+	output
+}
+
+// trial is a request that the demo shows.
+type trial struct {
+	what   string
+	path   string
+	header [2]string
+	body   string
+}
+
+var trials = []trial{
+	{"a streamed answer", "/v1/chat/completions", [2]string{}, `{"model":"draft","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Where do I set up?"}]}`},
+	{"a whole answer", "/v1/chat/completions", [2]string{"Jasminewing-Class", "season_summary"}, `{"model":"draft","max_tokens":12,"messages":[{"role":"user","content":"Sum the season up."}]}`},
+	{"a booking, which runs once however often it is sent", "/services/pitch_booking/bookings", [2]string{"Idempotency-Key", "row-7-pitch-12"}, `{"booking":"row-7-pitch-12"}`},
+}
+
+// Execute runs the demo until it is stopped, or once.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	directory, err := c.directory()
+	if err != nil {
+		return err
+	}
+	if c.Once && c.Table == "" {
+		defer os.RemoveAll(directory)
+	}
+	d := &demo.Deployment{TableDirectory: directory, Logs: io.Discard}
+	if c.Logs {
+		d.Logs = c.stderr
+	}
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	if c.Once {
+		err = c.sendAll(ctx, d)
+	} else {
+		c.explain(d, directory)
+		<-ctx.Done()
+	}
+	if stopped := d.Stop(context.Background()); err == nil {
+		err = stopped
+	}
+	return err
+}
+
+func (c *demoCommand) directory() (string, error) {
+	if c.Table != "" {
+		return c.Table, nil
+	}
+	directory, err := os.MkdirTemp("", "jasminewing-demo-")
+	if err != nil {
+		return "", fmt.Errorf("make table directory: %w", err)
+	}
+	return directory, demo.WriteTable(directory)
+}
+
+func (c *demoCommand) explain(d *demo.Deployment, directory string) {
+	gateway := d.Gateways()[0]
+	fmt.Fprintf(c.stdout, "gateways: %s\ntable:    %s (edit a row; it is in force at once)\n", strings.Join(d.Gateways(), " "), directory)
+	for _, a := range d.Admins() {
+		fmt.Fprintf(c.stdout, "admin:    %s\n", a)
+	}
+	if c.Table != "" {
+		return
+	}
+	for _, t := range trials {
+		fmt.Fprintf(c.stdout, "\n# %s\n%s\n", t.what, t.curl(gateway))
+	}
+	fmt.Fprintf(c.stdout, "\nstop with ctrl-c\n")
+}
+
+func (t trial) curl(gateway string) string {
+	extra := ""
+	if t.header[0] != "" {
+		extra = fmt.Sprintf(" -H '%s: %s'", t.header[0], t.header[1])
+	}
+	return fmt.Sprintf("curl -N http://%s%s -H 'Authorization: Bearer %s'%s -d '%s'", gateway, t.path, demo.MarketKey, extra, t.body)
+}
+
+func (c *demoCommand) sendAll(ctx context.Context, d *demo.Deployment) error {
+	for _, t := range trials {
+		fmt.Fprintf(c.stdout, "# %s\n", t.what)
+		if err := c.send(ctx, d.Gateways()[0], t); err != nil {
+			return fmt.Errorf("send %s: %w", t.what, err)
+		}
+	}
+	return nil
+}
+
+func (c *demoCommand) send(ctx context.Context, gateway string, t trial) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+t.path, strings.NewReader(t.body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+demo.MarketKey)
+	if t.header[0] != "" {
+		r.Header.Set(t.header[0], t.header[1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(c.stdout, resp.Body); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.stdout)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/jasminewing/harness_test.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/demo"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	// asProgram makes the test binary run as the program itself.
+	asProgram    = "JASMINEWING_TEST_PROGRAM"
+	testSecret   = "a-secret-for-this-test"
+	loopback     = "127.0.0.1:0"
+	patience     = 20 * time.Second
+	pollInterval = 10 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// cluster is a fleet of real processes before stand-ins.
+type cluster struct {
+	t      *testing.T
+	config *standin.Config
+	vms    *standin.VMs
+	// tables is the directory of the table's files as they were at the start.
+	tables     string
+	configAddr string
+	vmListAddr string
+	gateways   []*proc
+}
+
+// newCluster starts the platform's stand-ins with the demo's table in force.
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, config: &standin.Config{}, vms: &standin.VMs{}, tables: t.TempDir()}
+	assert.NilError(t, demo.WriteTable(c.tables))
+	c.configAddr = c.serve(c.config.Service())
+	c.vmListAddr = c.serve(c.vms.Service())
+	assert.NilError(t, (&standin.Directory{Path: c.tables, Config: c.config}).Load())
+	return c
+}
+
+// serve serves a stand-in in the test's own process.
+func (c *cluster) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	c.t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// edit replaces text in a section of the table.
+func (c *cluster) edit(section, old, fresh string) {
+	c.t.Helper()
+	path := filepath.Join(c.tables, section+".csv")
+	data, err := os.ReadFile(path)
+	assert.NilError(c.t, err)
+	assert.Assert(c.t, strings.Contains(string(data), old), "section %s holds no %q", section, old)
+	data = []byte(strings.ReplaceAll(string(data), old, fresh))
+	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
+	c.config.Set(section, data)
+}
+
+// gateway starts a gateway and lists its VM.
+func (c *cluster) gateway(name, dataCentre string, more ...string) *proc {
+	args := append([]string{
+		"gateway", "--name", name, "--data-centre", dataCentre, "--listen", loopback, "--peer-listen", loopback,
+		"--stop-settle", "200ms",
+	}, more...)
+	p := c.start(args)
+	p.vm = fleet.VM{
+		Name: fleet.VMName(name), Role: fleet.Gateway, DataCentre: table.DataCentreName(dataCentre),
+		Address: fleet.Address(p.started("peer_listen")), State: fleet.Live,
+	}
+	p.callers = p.started("listen")
+	c.gateways = append(c.gateways, p)
+	c.vms.Set(p.vm)
+	return p
+}
+
+// sidecar starts a sidecar before an upstream and lists its VM.
+func (c *cluster) sidecar(upstream, dataCentre, address string, more ...string) *proc {
+	name := "vm_" + upstream
+	args := append([]string{
+		"sidecar", "--name", name, "--data-centre", dataCentre, "--listen", loopback,
+		"--upstream-name", upstream, "--upstream-address", address,
+	}, more...)
+	p := c.start(args)
+	p.vm = fleet.VM{
+		Name: fleet.VMName(name), Role: fleet.Sidecar, DataCentre: table.DataCentreName(dataCentre),
+		Upstream: table.UpstreamName(upstream), Address: fleet.Address(p.started("listen")), State: fleet.Live,
+	}
+	c.vms.Set(p.vm)
+	return p
+}
+
+func (c *cluster) start(args []string) *proc {
+	c.t.Helper()
+	args = append(args, "--admin-listen", loopback, "--log-format", "json",
+		"--config-address", c.configAddr, "--vm-list-address", c.vmListAddr)
+	p := &proc{t: c.t, command: exec.Command(os.Args[0], args...), exited: make(chan struct{})}
+	p.command.Env = append(os.Environ(), asProgram+"=1", "JASMINEWING_FLEET_SECRET="+testSecret)
+	p.run()
+	p.admin = p.started("admin_listen")
+	return p
+}
+
+// awaitReady waits until every process given takes work.
+func (c *cluster) awaitReady(ps ...*proc) {
+	c.t.Helper()
+	for _, p := range ps {
+		c.await("ready "+string(p.vm.Name), func() bool {
+			resp, err := http.Get("http://" + p.admin + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// await polls until something holds, and fails the test when it takes too long.
+func (c *cluster) await(what string, holds func() bool) {
+	c.t.Helper()
+	end := time.NewTimer(patience)
+	defer end.Stop()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for !holds() {
+		select {
+		case <-poll.C:
+		case <-end.C:
+			c.t.Fatalf("waited %s for: %s", patience, what)
+		}
+	}
+}
+
+// proc is a program of the fleet, or a stand-in, as a process of its own.
+type proc struct {
+	t       *testing.T
+	command *exec.Cmd
+	vm      fleet.VM
+	admin   string
+	callers string
+	exited  chan struct{}
+	status  int
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// run starts the process, keeps its lines, and ends it with the test.
+func (p *proc) run() {
+	p.t.Helper()
+	out, in, err := os.Pipe()
+	assert.NilError(p.t, err)
+	p.command.Stdout, p.command.Stderr = in, in
+	assert.NilError(p.t, p.command.Start())
+	_ = in.Close()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		p.read(out)
+	}()
+	go func() {
+		defer close(p.exited)
+		<-read
+		_ = p.command.Wait()
+		p.status = p.command.ProcessState.ExitCode()
+	}()
+	p.t.Cleanup(func() {
+		p.kill()
+		if p.t.Failed() {
+			p.t.Logf("%s\n%s", strings.Join(p.command.Args[1:], " "), strings.Join(p.output(), "\n"))
+		}
+	})
+}
+
+func (p *proc) read(r io.ReadCloser) {
+	defer r.Close()
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, lines.Text())
+		p.mu.Unlock()
+	}
+}
+
+func (p *proc) output() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.lines...)
+}
+
+// event gives the fields of the first log line of an event, nil for none yet.
+func (p *proc) event(name string) map[string]any {
+	for _, l := range p.output() {
+		var fields map[string]any
+		if json.Unmarshal([]byte(l), &fields) == nil && fields["name"] == name {
+			return fields
+		}
+	}
+	return nil
+}
+
+// started gives a field of the event started, once it is there.
+func (p *proc) started(field string) string {
+	p.t.Helper()
+	var value string
+	(&cluster{t: p.t}).await("start of "+p.command.Args[1], func() bool {
+		value = fmt.Sprint(p.event("started")[field])
+		return p.event("started") != nil
+	})
+	return value
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	p.t.Helper()
+	assert.NilError(p.t, p.command.Process.Signal(s))
+}
+
+// kill ends the process at once, if it still runs, also when it is frozen.
+func (p *proc) kill() {
+	select {
+	case <-p.exited:
+	default:
+		_ = p.command.Process.Kill()
+		<-p.exited
+	}
+}
+
+// stop asks for a graceful stop and gives the exit status.
+func (p *proc) stop() int {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	return p.wait()
+}
+
+func (p *proc) wait() int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		return p.status
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not end in %s", p.command.Args[1], patience)
+		return -1
+	}
+}
+
+// request is what a caller sends.
+type request struct {
+	path   string
+	body   string
+	class  string
+	key    string
+	bearer string
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// code gives the number of an error reply, 0 for none.
+func (r reply) code() int {
+	var e struct {
+		Error struct {
+			Code int `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(r.body), &e)
+	return e.Error.Code
+}
+
+// send sends a request to a gateway.
+func (p *proc) send(r request) reply {
+	out, err := http.NewRequest(http.MethodPost, "http://"+p.callers+r.path, strings.NewReader(r.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if r.bearer == "" {
+		r.bearer = demo.MarketKey
+	}
+	out.Header.Set("Authorization", "Bearer "+r.bearer)
+	if r.class != "" {
+		out.Header.Set("Jasminewing-Class", r.class)
+	}
+	if r.key != "" {
+		out.Header.Set("Idempotency-Key", r.key)
+	}
+	resp, err := (&http.Client{Timeout: patience}).Do(out)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+var requestID = regexp.MustCompile(`req_[0-9a-f]+_[0-9]+`)
+
+// transcript writes down what a caller sent and got, without what changes from
+// run to run.
+func transcript(w io.Writer, gateway string, r request, got reply) {
+	fmt.Fprintf(w, "> %s %s class=%s key=%s %s\n", gateway, r.path, r.class, r.key, r.body)
+	body := requestID.ReplaceAllString(got.body, "REQUEST")
+	fmt.Fprintf(w, "< %d not_whole=%t\n%s\n", got.status, got.err != nil, strings.TrimRight(body, "\n"))
+}
--- a/cmd/jasminewing/main.go
+++ b/cmd/jasminewing/main.go
@@ -44,6 +44,9 @@
 
 // subcommands is all that the program can do.
 var subcommands = []subcommand{
+	gatewaySubcommand,
+	sidecarSubcommand,
+	demoSubcommand,
 	checkSubcommand,
 	codesSubcommand,
 	eventsSubcommand,
@@ -65,7 +68,8 @@
 		writeHelp(stdout, p, f)
 		return statusFine
 	}
-	if err != nil {
+	var logged exitStatus
+	if err != nil && !errors.As(err, &logged) {
 		writeError(stderr, err)
 	}
 	return statusOf(err)
--- /dev/null
+++ b/cmd/jasminewing/sidecar.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	_ "embed"
+	"errors"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"jasminewing.dev/jasminewing/internal/process"
+	"jasminewing.dev/jasminewing/internal/setting"
+)
+
+//go:embed sidecar_usage.txt
+var sidecarUsage string
+
+var sidecarSubcommand = subcommand{
+	name:    "sidecar",
+	summary: "stand beside one upstream and decide what it runs",
+	usage:   sidecarUsage,
+	command: func(o output) flags.Commander { return &sidecarCommand{stderr: o.stderr} },
+}
+
+// sidecarCommand runs a sidecar.
+type sidecarCommand struct {
+	setting.Sidecar
+	stderr io.Writer
+}
+
+// Execute checks the settings and runs until it is stopped.
+func (c *sidecarCommand) Execute([]string) error {
+	if faults := c.Validate(); len(faults) > 0 {
+		return errors.Join(faults...)
+	}
+	p := &process.Sidecar{Settings: &c.Sidecar, Stderr: c.stderr}
+	return ended(process.Run(p.App(), p.Log))
+}
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -20,7 +20,7 @@
 	Mix         []mixFlag     `long:"mix" required:"yes" description:"class=NAME,key=KEY,model=MODEL[,share=1][,first_token=500ms][,max_tokens=0]; may be repeated"`
 	Streamed    float64       `long:"streamed" default:"0.5" description:"share of requests that ask for a stream"`
 	Concurrency int           `long:"concurrency" default:"100" description:"most requests in flight"`
-	ClassHeader string        `long:"class-header" default:"Class" description:"header that names the class"`
+	ClassHeader string        `long:"class-header" default:"Jasminewing-Class" description:"header that names the class"`
 	Seed        uint64        `long:"seed" default:"1" description:"seed of times and mixes"`
 }
 
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,387 @@
+// Package demo runs a whole deployment in one process on loopback: gateways,
+// sidecars, and stand-ins for engines, a booking service and the platform. It
+// is for a laptop and for tests, not for production.
+//
+// # Usage
+//
+//	d := &demo.Deployment{TableDirectory: dir, Logs: os.Stderr}
+//	if err := d.Start(ctx); err != nil {
+//		return err
+//	}
+//	defer d.Stop(ctx)
+package demo
+
+import (
+	"cmp"
+	"context"
+	"embed"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/process"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// MarketKey is the bearer key of the demo table's account market.
+const MarketKey = "demo-key-market"
+
+const (
+	loopback     = "127.0.0.1:0"
+	fleetSecret  = "demo-secret-of-the-fleet"
+	gateways     = 2
+	stopSettle   = 100 * time.Millisecond
+	readyTimeout = 30 * time.Second
+	readyPoll    = 10 * time.Millisecond
+	maxBody      = 4 << 20
+	maxAnswer    = 16 << 20
+)
+
+//go:embed table/*.csv
+var tableFiles embed.FS
+
+// WriteTable writes the demo's table into a directory.
+func WriteTable(directory string) error {
+	entries, err := tableFiles.ReadDir("table")
+	if err != nil {
+		return fmt.Errorf("write demo table: %w", err)
+	}
+	for _, e := range entries {
+		data, err := tableFiles.ReadFile("table/" + e.Name())
+		if err != nil {
+			return fmt.Errorf("write demo table: %w", err)
+		}
+		if err := os.WriteFile(filepath.Join(directory, e.Name()), data, 0o644); err != nil {
+			return fmt.Errorf("write demo table: %w", err)
+		}
+	}
+	return nil
+}
+
+// Deployment is a running demo. Its exported fields are set before Start.
+type Deployment struct {
+	// TableDirectory holds the table's CSV files; edits are taken over.
+	TableDirectory string
+	// Logs takes the programs' log lines.
+	Logs io.Writer
+	// FastEngines makes engines answer at once and never be cold.
+	FastEngines bool
+
+	// Engines and Bookings are the upstreams by name, set by Start.
+	Engines  map[table.UpstreamName]*standin.Engine
+	Bookings map[table.UpstreamName]*standin.Booking
+	Config   *standin.Config
+	VMs      *standin.VMs
+
+	group    *errgroup.Group
+	ctx      context.Context
+	cancel   context.CancelFunc
+	servers  []*http.Server
+	programs []*program
+	settings setting.Common
+
+	upstreamAddresses map[table.UpstreamName]string
+}
+
+// program is a gateway or sidecar of the deployment.
+type program struct {
+	app    *fx.App
+	vm     fleet.VM
+	admin  string
+	listen string
+}
+
+// Gateways gives the addresses where callers are taken.
+func (d *Deployment) Gateways() []string {
+	var all []string
+	for _, p := range d.programs {
+		if p.vm.Role == fleet.Gateway {
+			all = append(all, p.listen)
+		}
+	}
+	return all
+}
+
+// Admins gives the addresses of the programs' admin listeners, by name of VM.
+func (d *Deployment) Admins() []string {
+	var all []string
+	for _, p := range d.programs {
+		all = append(all, fmt.Sprintf("%s %s", p.vm.Name, p.admin))
+	}
+	return all
+}
+
+// Start starts everything and returns when all gateways are ready.
+func (d *Deployment) Start(ctx context.Context) error {
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.group, d.ctx = errgroup.WithContext(d.ctx)
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	t, err := d.table()
+	if err != nil {
+		return err
+	}
+	if err := d.startUpstreams(t); err != nil {
+		return err
+	}
+	for n := range gateways {
+		if err := d.addGateway(t, n+1); err != nil {
+			return err
+		}
+	}
+	for _, p := range d.programs {
+		if err := p.app.Start(ctx); err != nil {
+			return fmt.Errorf("start %s: %w", p.vm.Name, err)
+		}
+	}
+	return d.awaitReady(ctx)
+}
+
+// Stop stops gateways first, then sidecars, then the stand-ins.
+func (d *Deployment) Stop(ctx context.Context) error {
+	slices.SortStableFunc(d.programs, func(a, b *program) int { return cmp.Compare(a.vm.Role, b.vm.Role) })
+	for _, role := range []fleet.Role{fleet.Gateway, fleet.Sidecar} {
+		var g errgroup.Group
+		for _, p := range d.programs {
+			if p.vm.Role == role {
+				g.Go(func() error { return p.app.Stop(ctx) })
+			}
+		}
+		if err := g.Wait(); err != nil {
+			return fmt.Errorf("stop %ss: %w", role, err)
+		}
+	}
+	d.cancel()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	return d.group.Wait()
+}
+
+func (d *Deployment) table() (*table.Table, error) {
+	paths, err := filepath.Glob(filepath.Join(d.TableDirectory, "*.csv"))
+	if err != nil {
+		return nil, fmt.Errorf("read table: %w", err)
+	}
+	var sections []table.Section
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return nil, fmt.Errorf("read table: %w", err)
+		}
+		name := filepath.Base(p)
+		sections = append(sections, table.Section{Name: name[:len(name)-len(".csv")], Data: data})
+	}
+	t, faults := table.Parse(sections)
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("read table: %w", faults[0])
+	}
+	return t, nil
+}
+
+func (d *Deployment) startPlatform() error {
+	d.Config = &standin.Config{}
+	d.VMs = &standin.VMs{}
+	config, err := d.serve(d.Config.Service())
+	if err != nil {
+		return err
+	}
+	vms, err := d.serve(d.VMs.Service())
+	if err != nil {
+		return err
+	}
+	files := &standin.Directory{Path: d.TableDirectory, Config: d.Config}
+	if err := files.Load(); err != nil {
+		return err
+	}
+	d.group.Go(func() error { return files.Run(d.ctx) })
+	d.settings = setting.Common{
+		FleetSecret:   fleetSecret,
+		ConfigAddress: fleet.Address(config),
+		VMListAddress: fleet.Address(vms),
+		LogFormat:     setting.TextLog,
+		LogLevel:      setting.InfoLevel,
+		MaxBody:       setting.Bytes{N: maxBody},
+		MaxAnswer:     setting.Bytes{N: maxAnswer},
+	}
+	return nil
+}
+
+// serve serves a stand-in on loopback and gives its address.
+func (d *Deployment) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("listen for stand-in: %w", err)
+	}
+	s := &http.Server{Handler: h}
+	d.servers = append(d.servers, s)
+	d.group.Go(func() error {
+		_ = s.Serve(l)
+		return nil
+	})
+	return l.Addr().String(), nil
+}
+
+func (d *Deployment) startUpstreams(t *table.Table) error {
+	d.Engines = make(map[table.UpstreamName]*standin.Engine)
+	d.Bookings = make(map[table.UpstreamName]*standin.Booking)
+	d.upstreamAddresses = make(map[table.UpstreamName]string)
+	names := make([]table.UpstreamName, 0, len(t.Upstreams))
+	for n := range t.Upstreams {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		address, err := d.serve(d.upstream(t.Upstreams[n]))
+		if err != nil {
+			return err
+		}
+		d.upstreamAddresses[n] = address
+		if err := d.addSidecar(t.Upstreams[n], fleet.Address(address)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) upstream(row table.Upstream) http.Handler {
+	if row.Kind == table.Plain {
+		b := &standin.Booking{Delay: 5 * time.Millisecond}
+		d.Bookings[row.Name] = b
+		return b
+	}
+	if d.FastEngines {
+		e := &standin.Engine{Name: string(row.Name), Slots: row.Limit}
+		d.Engines[row.Name] = e
+		return e
+	}
+	e := &standin.Engine{
+		Name:       string(row.Name),
+		Slots:      row.Limit,
+		FirstToken: 40 * time.Millisecond,
+		TokenGap:   8 * time.Millisecond,
+		ColdSlots:  row.ColdLimit,
+		WarmAfter:  2 * row.Limit,
+	}
+	d.Engines[row.Name] = e
+	return e
+}
+
+func (d *Deployment) addSidecar(row table.Upstream, upstream fleet.Address) error {
+	peers, admin, err := listenTwo()
+	if err != nil {
+		return err
+	}
+	s := &setting.Sidecar{
+		Common:          d.settings,
+		UpstreamName:    row.Name,
+		UpstreamAddress: upstream,
+		MaxParked:       setting.Count{N: 1024},
+		MaxKeys:         setting.Count{N: 10_000},
+	}
+	s.Name = fleet.VMName("vm_" + row.Name)
+	s.DataCentre = row.DataCentre
+	vm := fleet.VM{
+		Name: s.Name, Role: fleet.Sidecar, DataCentre: row.DataCentre, Upstream: row.Name,
+		Address: fleet.Address(peers.Addr().String()), State: fleet.Live,
+	}
+	app := (&process.Sidecar{Settings: s, Stderr: d.Logs, Peers: peers, Admin: admin}).App()
+	d.add(&program{app: app, vm: vm, admin: admin.Addr().String()})
+	return app.Err()
+}
+
+func (d *Deployment) addGateway(t *table.Table, n int) error {
+	peers, admin, err := listenTwo()
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	s := &setting.Gateway{
+		Common:     d.settings,
+		StopSettle: setting.Duration{Duration: stopSettle},
+		MaxWaiting: setting.Count{N: 4096},
+		RetryShare: setting.Share{Part: 0.1},
+		Subset:     setting.Count{N: 64},
+	}
+	s.Name = fleet.VMName(fmt.Sprintf("vm_gateway_%d", n))
+	s.DataCentre = dataCentre(t, n)
+	vm := fleet.VM{
+		Name: s.Name, Role: fleet.Gateway, DataCentre: s.DataCentre,
+		Address: fleet.Address(peers.Addr().String()), State: fleet.Live,
+	}
+	app := (&process.Gateway{Settings: s, Stderr: d.Logs, Callers: callers, Peers: peers, Admin: admin}).App()
+	d.add(&program{app: app, vm: vm, admin: admin.Addr().String(), listen: callers.Addr().String()})
+	return app.Err()
+}
+
+func (d *Deployment) add(p *program) {
+	d.programs = append(d.programs, p)
+	d.VMs.Set(p.vm)
+}
+
+func dataCentre(t *table.Table, n int) table.DataCentreName {
+	names := make([]table.DataCentreName, 0, len(t.DataCentres))
+	for name := range t.DataCentres {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names[n%len(names)]
+}
+
+func listenTwo() (peers, admin net.Listener, err error) {
+	if peers, err = net.Listen("tcp", loopback); err != nil {
+		return nil, nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	if admin, err = net.Listen("tcp", loopback); err != nil {
+		_ = peers.Close()
+		return nil, nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	return peers, admin, nil
+}
+
+// awaitReady waits until every program takes work.
+func (d *Deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	poll := time.NewTicker(readyPoll)
+	defer poll.Stop()
+	for _, p := range d.programs {
+		for !ready(ctx, p.admin) {
+			select {
+			case <-poll.C:
+			case <-ctx.Done():
+				return result.Errorf(result.NotReady, "%s: %w", p.vm.Name, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, admin string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -269,9 +269,10 @@
 	}
 }
 
-// refusedAfterBody is a refusal on the attempt that has the body.
+// refusedAfterBody is a refusal on the attempt that has the body. A refusal for
+// its key says that this attempt was not run, though an earlier one may have.
 func (a *Attempts) refusedAfterBody(now time.Time, m Refused) []Effect {
-	if !m.NotRun {
+	if !m.NotRun && !m.Code.OfKey() {
 		a.last = m
 		return a.again(now, m.Code, RetryIncomplete)
 	}
@@ -281,7 +282,11 @@
 	if a.final(m.Code) {
 		return a.refuse()
 	}
-	return a.offerNext(now, []Effect{Counted{RetryLapsed}})
+	reason := RetryLapsed
+	if m.Code.OfKey() {
+		reason = RetryKey
+	}
+	return a.offerNext(now, []Effect{Counted{reason}})
 }
 
 func (a *Attempts) head(m HeadCame) []Effect {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -175,9 +175,10 @@
 	RetrySilent     RetryReason = "silent"
 	RetryResume     RetryReason = "resume"
 	RetryLapsed     RetryReason = "lapsed"
+	RetryKey        RetryReason = "key"
 )
 
 // RetryReasons lists them all.
 func RetryReasons() []RetryReason {
-	return []RetryReason{RetryRefused, RetryWiden, RetryRound, RetryIncomplete, RetryLost, RetrySilent, RetryResume, RetryLapsed}
+	return []RetryReason{RetryRefused, RetryWiden, RetryRound, RetryIncomplete, RetryLost, RetrySilent, RetryResume, RetryLapsed, RetryKey}
 }
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -136,6 +136,25 @@
 			s.at(ms, Refused{Attempt: 1, Code: result.UpstreamOut, NotRun: true})
 			return s
 		}},
+		{"key_with_another_body", func() *session {
+			s := newSession(booking, "a")
+			s.core.Request.Keyed = true
+			s.at(0, Started{})
+			s.at(ms, Granted{1})
+			s.at(2*ms, Refused{Attempt: 1, Code: result.KeyBodyDiffers})
+			return s
+		}},
+		{"key_in_progress_then_answered", func() *session {
+			s := newSession(booking, "a")
+			s.core.Request.Keyed = true
+			s.at(0, Started{})
+			s.at(ms, Granted{1})
+			s.at(2*ms, Refused{Attempt: 1, Code: result.KeyInProgress})
+			s.at(102*ms, Ticked{})
+			s.at(103*ms, Granted{2})
+			s.at(104*ms, Ended{Attempt: 2, Complete: true})
+			return s
+		}},
 		{"idempotent_had_anew", func() *session {
 			s := newSession(draft, "a", "b")
 			s.at(0, Started{})
--- a/internal/event/entries.go
+++ b/internal/event/entries.go
@@ -8,6 +8,7 @@
 	{StopForced, "stop_forced", Warn, "second signal, ending at once", "requests in flight were cut off; expect repeats from callers"},
 	{ListenFailed, "listen_failed", Error, "cannot listen", "see whether another process holds the address"},
 	{PauseNoticed, "pause_noticed", Warn, "this process was paused", "see whether the VM is short of processor time"},
+	{SettingRefused, "setting_refused", Error, "a setting contradicts the table", "mend the setting or the row; the program has stopped"},
 	{TableApplied, "table_applied", Info, "table in force", "none"},
 	{TableRefused, "table_refused", Error, "table refused, the last good one stays", "mend the row that is named; `jasminewing check` shows all faults"},
 	{ConfigDown, "config_down", Warn, "configuration service does not answer", "edits wait until it does; nothing else is affected"},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,7 @@
 	StopForced     Number = 105
 	ListenFailed   Number = 106
 	PauseNoticed   Number = 107
+	SettingRefused Number = 108
 	TableApplied   Number = 201
 	TableRefused   Number = 202
 	ConfigDown     Number = 203
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +30,11 @@
 // Fleet is what the gateway needs of the fleet's view.
 type Fleet interface {
 	View() *fleet.View
-	Subscribe() (<-chan struct{}, func())
+	Changed() <-chan struct{}
 	Behind(r table.Revision, v fleet.ListVersion, from fleet.Address)
+	// Renew waits, after a pause of this process, until it has heard from
+	// somebody; it is cheap when there was none.
+	Renew(ctx context.Context) error
 }
 
 // Dialer gives connections to sidecars.
@@ -88,7 +90,7 @@
 	budget   dispatch.Budget
 	metrics  metricSet
 	traces   traces
-	inFlight sync.WaitGroup
+	inFlight atomic.Int64
 	draining atomic.Bool
 	ids      requestIDs
 }
@@ -124,18 +126,8 @@
 // Drain makes readiness fail; the listener stays open for late arrivals.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// AwaitRequests returns when no request is in flight, or when ctx ends.
-func (g *Gateway) AwaitRequests(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
+// InFlight gives how many requests have no whole answer yet.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
 // Members gives the sidecars as this gateway sees them.
 func (g *Gateway) Members() []dispatch.Member { return g.pool.Members() }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -68,7 +68,11 @@
 // serveCall serves one request from its head to the end of its answer.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
-	defer g.inFlight.Done()
+	defer g.inFlight.Add(-1)
+	if g.draining.Load() {
+		// The caller shall not find this connection closed with its next request.
+		w.Header().Set("Connection", "close")
+	}
 	a := &answer{w: w, id: g.ids.next(), limit: g.MaxAnswer, arrived: time.Now()}
 	c, err := g.understand(w, r, a.id)
 	if err != nil {
@@ -76,6 +80,9 @@
 		return
 	}
 	a.streamed = c.streamed
+	if g.Quota == nil {
+		g.Quota = noQuota{}
+	}
 	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
 	if code != result.OK {
 		refusal := result.Errorf(code, "client account %q", c.account.Name)
@@ -97,7 +104,7 @@
 func (g *Gateway) refuseCall(a *answer, err error) {
 	code := result.CodeOf(err)
 	g.metrics.refusal(code)
-	a.detail = err.Error()
+	a.detail = result.DetailOf(err)
 	a.fail(dispatch.Finish{Code: code, NotRun: code.Info().NotRun, RetryAfter: result.RetryAfterOf(err)})
 }
 
@@ -155,3 +162,10 @@
 	}
 	return list
 }
+
+type noQuota struct{}
+
+func (noQuota) Take(time.Time, table.Account, table.Tokens) (result.Code, time.Duration) {
+	return result.OK, 0
+}
+func (noQuota) Done(time.Time, table.Account, table.Tokens) {}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -29,8 +29,7 @@
 // Run works until ctx ends.
 func (m *members) Run(ctx context.Context) error {
 	m.watches = make(map[dispatch.Candidate]context.CancelFunc)
-	changed, stop := m.gateway.Fleet.Subscribe()
-	defer stop()
+	changed := m.gateway.Fleet.Changed()
 	var outBefore map[table.DataCentreName]bool
 	for {
 		v := m.gateway.Fleet.View()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 		m.set.NewCounter(retryName(r))
 	}
 	m.set.NewGauge("jasminewing_waiting_requests", func() float64 { return float64(g.room.Waiting()) })
+	m.set.NewGauge("jasminewing_requests_in_flight", func() float64 { return float64(g.InFlight()) })
 	m.set.NewGauge("jasminewing_table_revision", func() float64 {
 		if t := g.Fleet.View().Table; t != nil {
 			return float64(t.Revision)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,7 +74,7 @@
 	}
 	solo, err := r.gateway.Suspects.Judge(time.Now(), r.offer)
 	if err != nil {
-		return r.refuse(result.CodeOf(err), err.Error(), result.RetryAfterOf(err)), true
+		return r.refuse(result.CodeOf(err), result.DetailOf(err), result.RetryAfterOf(err)), true
 	}
 	r.solo = solo
 	return dispatch.Finish{}, false
@@ -192,7 +192,13 @@
 	}
 }
 
+// open offers to a sidecar. A gateway that was paused first hears what is new:
+// what it knows may name a data centre that has been taken out.
 func (r *run) open(ctx context.Context, e dispatch.Offer) {
+	if err := r.gateway.Fleet.Renew(ctx); err != nil {
+		go r.refuseOffer(ctx, e.Attempt, err)
+		return
+	}
 	r.trace.step("offer", e.Candidate.VM, result.OK)
 	offer := r.offerFor(e)
 	s := &stream{
@@ -207,6 +213,15 @@
 	s.start(ctx, func() { r.gateway.pool.End(e.Candidate) })
 }
 
+// refuseOffer answers an offer that never went out.
+func (r *run) refuseOffer(ctx context.Context, n dispatch.AttemptNumber, err error) {
+	a := arrival{message: dispatch.Refused{Attempt: n, Code: result.CodeOf(err), NotRun: true}, detail: result.DetailOf(err)}
+	select {
+	case r.inbox <- a:
+	case <-ctx.Done():
+	}
+}
+
 func (r *run) offerFor(e dispatch.Offer) *wire.Offer {
 	o := wire.Offer{
 		RequestId: r.offer.RequestId, Account: r.offer.Account, Class: r.offer.Class, Tier: r.offer.Tier,
--- /dev/null
+++ b/internal/process/gateway.go
@@ -0,0 +1,113 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/fx"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/gateway"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// Gateway is the program gateway. Its exported fields are set before App.
+type Gateway struct {
+	Settings *setting.Gateway
+	Stderr   io.Writer
+	// Callers, Peers and Admin are listeners; nil to open those of the settings.
+	Callers, Peers, Admin net.Listener
+	// Log is set by App.
+	Log *event.Log
+}
+
+// App assembles the program.
+func (p *Gateway) App() *fx.App {
+	p.Log = newLog(&p.Settings.Common, p.Stderr)
+	return fx.New(
+		options(p.Settings.StopLimit.Duration),
+		fx.Supply(p, p.Log, &p.Settings.Common),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.gateway),
+		fx.Invoke(p.run),
+	)
+}
+
+// gatewayListeners are the open listeners of a gateway.
+type gatewayListeners struct{ callers, peers, admin net.Listener }
+
+func (p *Gateway) open() (*gatewayListeners, error) {
+	var l gatewayListeners
+	var err error
+	if l.callers, err = listen(p.Callers, p.Settings.Listen); err != nil {
+		return nil, err
+	}
+	if l.peers, err = listen(p.Peers, p.Settings.PeerListen); err != nil {
+		return nil, err
+	}
+	if l.admin, err = listen(p.Admin, p.Settings.AdminListen); err != nil {
+		return nil, err
+	}
+	return &l, nil
+}
+
+func (p *Gateway) self(l *gatewayListeners) fleet.VM {
+	return fleet.VM{
+		Name:       p.Settings.Name,
+		Role:       fleet.Gateway,
+		DataCentre: p.Settings.DataCentre,
+		Address:    fleet.Address(l.peers.Addr().String()),
+		State:      fleet.Live,
+	}
+}
+
+func (p *Gateway) gateway(f *fleet.Task, d *wire.Dialer, inc fleet.Incarnation) *gateway.Gateway {
+	g := &gateway.Gateway{
+		Name:       p.Settings.Name,
+		Fleet:      f,
+		Dialer:     d,
+		Log:        p.Log,
+		MaxBody:    p.Settings.MaxBody.N,
+		MaxAnswer:  p.Settings.MaxAnswer.N,
+		MaxWaiting: p.Settings.MaxWaiting.N,
+		RetryShare: p.Settings.RetryShare.Part,
+		Subset:     p.Settings.Subset.N,
+		Seed:       xxhash.Sum64String(string(inc)),
+	}
+	g.Init()
+	return g
+}
+
+func (p *Gateway) run(lc fx.Lifecycle, gr *group, l *gatewayListeners, f *fleet.Task, g *gateway.Gateway) {
+	servePeers(lc, gr, l.peers, &wire.Server{
+		Secret: wire.Secret(p.Settings.FleetSecret),
+		Peer:   &peerServer{fleet: f},
+	}, p.Log)
+	lc.Append(fx.StartHook(func() {
+		gr.run(f.Run)
+		gr.run(g.Run)
+		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
+	}))
+	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, g))
+	s := serveHTTP(lc, gr, l.callers, g.Handler())
+	lc.Append(fx.StopHook(func(ctx context.Context) { p.drain(ctx, g, s) }))
+	p.Log.Write(event.Started, "program", "gateway", "vm", p.Settings.Name, "listen", l.callers.Addr(),
+		"peer_listen", l.peers.Addr(), "admin_listen", l.admin.Addr())
+}
+
+// drain makes readiness fail and goes on serving for the settle time, so that
+// what the balancer still sends is answered.
+func (p *Gateway) drain(ctx context.Context, g *gateway.Gateway, _ *http.Server) {
+	g.Drain()
+	settle := time.NewTimer(p.Settings.StopSettle.Duration)
+	defer settle.Stop()
+	select {
+	case <-settle.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,236 @@
+// Package process assembles the long-running programs: it opens listeners,
+// wires cores and tasks together with fx, and stops them in order.
+//
+// # Usage
+//
+//	app := (&process.Gateway{Settings: &s, Stderr: os.Stderr}).App()
+//	status := process.Run(app, log)
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/platform"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Exit statuses of the programs.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitSetting = 2
+)
+
+const (
+	// stopForever stands for a graceful stop without a limit.
+	stopForever       = 24 * time.Hour
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	startTimeout      = 10 * time.Second
+)
+
+// Run starts an app, waits for a signal or for the app's own end, stops it
+// gracefully and gives the exit status. A second signal ends at once.
+func Run(app *fx.App, l *event.Log) int {
+	starting, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(starting); err != nil {
+		l.Write(event.ListenFailed, "error", err)
+		return ExitFailed
+	}
+	end := <-app.Wait()
+	l.Write(event.StopAsked, "reason", reason(end))
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(again)
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(context.Background()) }()
+	select {
+	case err := <-stopped:
+		return stopStatus(l, end, err)
+	case <-again:
+		l.Write(event.StopForced)
+		return ExitFailed
+	}
+}
+
+func reason(end fx.ShutdownSignal) string {
+	if end.Signal == nil {
+		return "own_end"
+	}
+	return end.Signal.String()
+}
+
+func stopStatus(l *event.Log, end fx.ShutdownSignal, err error) int {
+	if err != nil {
+		l.Write(event.StopForced, "error", err)
+		return ExitFailed
+	}
+	l.Write(event.Stopped)
+	return end.ExitCode
+}
+
+// newIncarnation makes the random id of this run.
+func newIncarnation() fleet.Incarnation {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	return fleet.Incarnation(hex.EncodeToString(b))
+}
+
+// options are those of every program.
+func options(limit time.Duration) fx.Option {
+	if limit == 0 {
+		limit = stopForever
+	}
+	return fx.Options(fx.NopLogger, fx.StopTimeout(limit), fx.Provide(newGroup, newIncarnation))
+}
+
+// group is the run group of a program: its tasks stop together, and the
+// program ends when one of them fails.
+type group struct {
+	tasks  *errgroup.Group
+	ctx    context.Context
+	cancel context.CancelFunc
+	shut   fx.Shutdowner
+}
+
+func newGroup(lc fx.Lifecycle, s fx.Shutdowner) *group {
+	ctx, cancel := context.WithCancel(context.Background())
+	tasks, ctx := errgroup.WithContext(ctx)
+	g := &group{tasks: tasks, ctx: ctx, cancel: cancel, shut: s}
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		cancel()
+		return tasks.Wait()
+	}})
+	return g
+}
+
+// run starts a task. Its error, unless of the group's own end, ends the program.
+func (g *group) run(task func(ctx context.Context) error) {
+	g.tasks.Go(func() error {
+		err := task(g.ctx)
+		if err == nil || g.ctx.Err() != nil || errors.Is(err, context.Canceled) {
+			return nil
+		}
+		_ = g.shut.Shutdown(fx.ExitCode(ExitFailed))
+		return err
+	})
+}
+
+func newLog(c *setting.Common, w io.Writer) *event.Log { return &event.Log{Logger: c.Logger(w)} }
+
+func newDialer(lc fx.Lifecycle, c *setting.Common) *wire.Dialer {
+	d := &wire.Dialer{Secret: wire.Secret(c.FleetSecret)}
+	lc.Append(fx.StopHook(func() { _ = d.Close() }))
+	return d
+}
+
+func newFleet(c *setting.Common, self fleet.VM, inc fleet.Incarnation, d *wire.Dialer, l *event.Log) *fleet.Task {
+	return &fleet.Task{
+		Self:        self,
+		Incarnation: inc,
+		Config:      &platform.Config{Client: platform.Client{Base: "http://" + string(c.ConfigAddress)}},
+		VMs:         &platform.VMs{Client: platform.Client{Base: "http://" + string(c.VMListAddress)}},
+		Peers:       &peers{dialer: d},
+		Seeds:       c.Peers,
+		Log:         l,
+		Parse:       parse,
+	}
+}
+
+// parse makes a table of values; the error names the first faults.
+func parse(values []fleet.Value) (*table.Table, error) {
+	sections := make([]table.Section, 0, len(values))
+	for _, v := range values {
+		sections = append(sections, table.Section{Name: v.Name, Revision: v.Revision, Data: v.Data})
+	}
+	t, faults := table.Parse(sections)
+	if len(faults) == 0 {
+		return t, nil
+	}
+	const shown = 3
+	errs := make([]error, 0, shown)
+	for _, f := range faults[:min(shown, len(faults))] {
+		errs = append(errs, f)
+	}
+	if more := len(faults) - shown; more > 0 {
+		errs = append(errs, fmt.Errorf("and %d more", more))
+	}
+	return nil, errors.Join(errs...)
+}
+
+// listen opens a listener unless one is given.
+func listen(given net.Listener, a fleet.Address) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	l, err := net.Listen("tcp", string(a))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", a, err)
+	}
+	return l, nil
+}
+
+// serveHTTP serves until the program stops, after which it lets requests in
+// flight end.
+func serveHTTP(lc fx.Lifecycle, g *group, l net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			g.run(func(context.Context) error {
+				if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					return err
+				}
+				return nil
+			})
+			return nil
+		},
+		OnStop: s.Shutdown,
+	})
+	return s
+}
+
+// checkTable ends the program if its settings contradict the first table.
+func checkTable(g *group, f *fleet.Task, l *event.Log, check func(*table.Table) error) {
+	changed := f.Changed()
+	g.run(func(ctx context.Context) error {
+		for !f.View().Ready || f.View().Table == nil {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+			}
+		}
+		l.Write(event.Ready, "revision", f.View().Table.Revision)
+		if err := check(f.View().Table); err != nil {
+			l.Write(event.SettingRefused, "code", int(result.CodeOf(err)), "error", err)
+			return g.shut.Shutdown(fx.ExitCode(ExitSetting))
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/process/sidecar.go
@@ -0,0 +1,136 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+
+	"go.uber.org/fx"
+
+	"jasminewing.dev/jasminewing/internal/booking"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/sidecar"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// Sidecar is the program sidecar. Its exported fields are set before App.
+type Sidecar struct {
+	Settings *setting.Sidecar
+	Stderr   io.Writer
+	// Peers and Admin are listeners; nil to open those of the settings.
+	Peers, Admin net.Listener
+	// Log is set by App.
+	Log *event.Log
+}
+
+// App assembles the program.
+func (p *Sidecar) App() *fx.App {
+	p.Log = newLog(&p.Settings.Common, p.Stderr)
+	return fx.New(
+		options(p.Settings.StopLimit.Duration),
+		fx.Supply(p, p.Log, &p.Settings.Common),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.upstream, p.keys, p.sidecar),
+		fx.Invoke(p.run),
+	)
+}
+
+// sidecarListeners are the open listeners of a sidecar.
+type sidecarListeners struct{ peers, admin net.Listener }
+
+func (p *Sidecar) open() (*sidecarListeners, error) {
+	var l sidecarListeners
+	var err error
+	if l.peers, err = listen(p.Peers, p.Settings.Listen); err != nil {
+		return nil, err
+	}
+	if l.admin, err = listen(p.Admin, p.Settings.AdminListen); err != nil {
+		return nil, err
+	}
+	return &l, nil
+}
+
+func (p *Sidecar) self(l *sidecarListeners) fleet.VM {
+	return fleet.VM{
+		Name:       p.Settings.Name,
+		Role:       fleet.Sidecar,
+		DataCentre: p.Settings.DataCentre,
+		Upstream:   p.Settings.UpstreamName,
+		Address:    fleet.Address(l.peers.Addr().String()),
+		State:      fleet.Live,
+	}
+}
+
+func (p *Sidecar) upstream(lc fx.Lifecycle) *engine.Client {
+	c := &engine.Client{Address: p.Settings.UpstreamAddress, MaxAnswer: p.Settings.MaxAnswer.N}
+	lc.Append(fx.StopHook(c.CloseIdle))
+	return c
+}
+
+func (p *Sidecar) keys(self fleet.VM, inc fleet.Incarnation, f *fleet.Task, d *wire.Dialer) *sidecar.Keys {
+	return &sidecar.Keys{
+		Core:         booking.Core{Self: self, Incarnation: inc, MaxRecords: p.Settings.MaxKeys.N},
+		Fleet:        f,
+		Peers:        &peers{dialer: d},
+		Log:          p.Log,
+		UpstreamName: p.Settings.UpstreamName,
+	}
+}
+
+func (p *Sidecar) sidecar(f *fleet.Task, k *sidecar.Keys, c *engine.Client, inc fleet.Incarnation) *sidecar.Sidecar {
+	s := &sidecar.Sidecar{
+		UpstreamName: p.Settings.UpstreamName,
+		VM:           p.Settings.Name,
+		Incarnation:  inc,
+		Fleet:        f,
+		Upstream:     c,
+		Keys:         k,
+		Log:          p.Log,
+		MaxBody:      p.Settings.MaxBody.N,
+		MaxParked:    p.Settings.MaxParked.N,
+	}
+	s.Init()
+	return s
+}
+
+func (p *Sidecar) run(lc fx.Lifecycle, gr *group, l *sidecarListeners, f *fleet.Task, k *sidecar.Keys, s *sidecar.Sidecar) {
+	servePeers(lc, gr, l.peers, &wire.Server{
+		Secret: wire.Secret(p.Settings.FleetSecret),
+		Work:   &sidecar.Work{Sidecar: s},
+		Peer:   &peerServer{fleet: f, keys: k},
+	}, p.Log)
+	lc.Append(fx.StartHook(func() {
+		gr.run(f.Run)
+		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
+	}))
+	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, s))
+	lc.Append(drainHook(gr, s))
+	p.Log.Write(event.Started, "program", "sidecar", "vm", p.Settings.Name, "upstream", p.Settings.UpstreamName,
+		"listen", l.peers.Addr(), "admin_listen", l.admin.Addr())
+}
+
+// drainHook runs the sidecar, and at the stop waits until what runs has ended.
+func drainHook(gr *group, s *sidecar.Sidecar) fx.Hook {
+	drain := make(chan struct{})
+	ended := make(chan struct{})
+	return fx.Hook{
+		OnStart: func(context.Context) error {
+			gr.run(func(ctx context.Context) error {
+				defer close(ended)
+				return s.Run(ctx, drain)
+			})
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			close(drain)
+			select {
+			case <-ended:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		},
+	}
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -63,12 +63,15 @@
 	}
 	s.admitter.tellCore(admission.HealthChanged{Up: up, Restarted: restarted})
 	if restarted {
-		s.noteDeath(was.Instance)
+		s.noteDeath(was.Instance, s.flights.all())
 	}
 	s.logHealth(up, downAt, err)
 }
 
 func (s *Sidecar) logHealth(up bool, downAt time.Time, err error) {
+	if up && downAt.IsZero() {
+		return
+	}
 	if up {
 		s.Log.WriteThrottled(event.UpstreamBack, string(s.UpstreamName), "down_since", downAt.Format(time.RFC3339))
 		return
@@ -87,16 +90,26 @@
 func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome) {
 	switch {
 	case outcome.Died:
-		s.noteDeath(s.instance())
+		instance, inFlight := s.instance(), s.flights.all()
+		s.attempts.Go(func() { s.confirmDeath(instance, inFlight) })
 	case outcome.Complete && s.Suspects != nil:
 		s.Suspects.Clean(time.Now(), o)
 	}
 }
 
-// noteDeath makes all that is in flight suspect, once for each instance of the
-// upstream.
-func (s *Sidecar) noteDeath(instance string) {
-	inFlight := s.flights.died(instance)
+// confirmDeath asks a lost upstream for its health: one that merely cut a
+// connection is still the same instance.
+func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) {
+	h, err := s.askHealth(context.Background())
+	if err == nil && h.Instance == instance {
+		return
+	}
+	s.noteDeath(instance, inFlight)
+}
+
+// noteDeath makes all that was in flight suspect. It may be told of the same
+// death by each request that saw it: the instance names the death.
+func (s *Sidecar) noteDeath(instance string, inFlight []*wire.Offer) {
 	if len(inFlight) == 0 || s.Suspects == nil {
 		return
 	}
@@ -115,7 +128,6 @@
 type flights struct {
 	mu     sync.Mutex
 	offers map[*wire.Offer]bool
-	dead   string
 }
 
 func (f *flights) begin(o *wire.Offer) {
@@ -133,15 +145,11 @@
 	delete(f.offers, o)
 }
 
-// died gives what was in flight at the first sign of an instance's death.
-func (f *flights) died(instance string) []*wire.Offer {
+// all gives what is in flight.
+func (f *flights) all() []*wire.Offer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.dead == instance {
-		return nil
-	}
-	f.dead = instance
-	var all []*wire.Offer
+	all := make([]*wire.Offer, 0, len(f.offers))
 	for o := range f.offers {
 		all = append(all, o)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -42,7 +41,7 @@
 // Fleet is what the sidecar needs of the fleet's view.
 type Fleet interface {
 	View() *fleet.View
-	Subscribe() (<-chan struct{}, func())
+	Changed() <-chan struct{}
 	Behind(r table.Revision, v fleet.ListVersion, from fleet.Address)
 	Renew(ctx context.Context) error
 }
@@ -53,19 +52,6 @@
 	Health(ctx context.Context) (engine.Health, error)
 }
 
-// Keys decides whether a request with an idempotency key may run.
-type Keys interface {
-	// Check refuses an offer whose key has its home elsewhere.
-	Check(o *wire.Offer) error
-	// Begin claims the key. It gives the recorded answer of an earlier run,
-	// nil if the request is to be run now, or an error if it must not run.
-	Begin(ctx context.Context, o *wire.Offer) (*wire.StoredAnswer, error)
-	// Finish records how the run ended.
-	Finish(o *wire.Offer, outcome engine.Outcome, answer *wire.StoredAnswer)
-	// Drain makes new keys go to the next home.
-	Drain()
-}
-
 // Suspects knows requests that are suspected of ending upstreams.
 type Suspects interface {
 	// Judge says whether a request must run alone, or not at all.
@@ -83,7 +69,7 @@
 	Incarnation  fleet.Incarnation
 	Fleet        Fleet
 	Upstream     Upstream
-	Keys         Keys
+	Keys         *Keys
 	Suspects     Suspects
 	Log          *event.Log
 	MaxBody      int64
@@ -92,6 +78,7 @@
 	admitter admitter
 	reports  reports
 	flights  flights
+	metrics  metricSet
 	attempts sync.WaitGroup
 	started  time.Time
 
@@ -109,6 +96,8 @@
 	s.admitter.Report = s.reports.set
 	s.admitter.Renew = s.renewAfterPause
 	s.admitter.init()
+	s.metrics.init(s)
+	s.Keys.Init()
 }
 
 // Run works until ctx ends. When drain closes it takes no new work, lets what
@@ -120,6 +109,7 @@
 	g.Go(func() error { return s.admitter.Run(ctx) })
 	g.Go(func() error { return s.followFleet(ctx) })
 	g.Go(func() error { return s.followHealth(ctx) })
+	g.Go(func() error { return s.Keys.Run(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		s.awaitDrain(ctx, drain)
@@ -136,9 +126,7 @@
 	}
 	s.Log.Write(event.UpstreamLeaves, "upstream", s.UpstreamName, "reason", "stop_signal")
 	s.admitter.tellCore(admission.LeaveAsked{})
-	if s.Keys != nil {
-		s.Keys.Drain()
-	}
+	s.Keys.Drain()
 	settle := time.NewTimer(drainSettle)
 	defer settle.Stop()
 	select {
@@ -172,8 +160,7 @@
 // followFleet tells the core of each change of its row, its data centre and
 // its VM's state.
 func (s *Sidecar) followFleet(ctx context.Context) error {
-	changed, stop := s.Fleet.Subscribe()
-	defer stop()
+	changed := s.Fleet.Changed()
 	for {
 		for _, m := range s.configuration() {
 			s.admitter.tellCore(m)
@@ -250,12 +237,3 @@
 
 // State gives what the core reports.
 func (s *Sidecar) State() admission.State { return s.reports.get() }
-
-// ServeReady answers a health check.
-func (s *Sidecar) ServeReady(w http.ResponseWriter, _ *http.Request) {
-	if code := s.Ready(); code != result.OK {
-		http.Error(w, code.String(), http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = w.Write([]byte("ok\n"))
-}
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/booking"
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -31,6 +32,7 @@
 	body     []byte
 	// answer is what a key's record keeps; nil without a key.
 	answer *wire.StoredAnswer
+	key    booking.Ref
 	begun  bool
 	// forwarded is when the upstream was given the request.
 	forwarded  time.Time
@@ -235,14 +237,19 @@
 		return result.Errorf(result.DeadlinePassed, "deadline passed before the request was forwarded")
 	}
 	if a.keyed() {
-		answer, err := a.sidecar.Keys.Begin(ctx, a.offer)
+		run, err := a.sidecar.Keys.Begin(ctx, a.offer)
 		if err != nil {
 			return err
 		}
-		if answer != nil {
-			return a.replay(answer)
+		if run.Answer != nil {
+			return a.replay(run.Answer)
 		}
+		a.key = run.Ref
 		a.answer = &wire.StoredAnswer{}
+		if !time.Now().Before(run.Before) {
+			a.sidecar.Keys.Finish(a.key, engine.Outcome{NotRun: true}, nil)
+			return result.Errorf(result.Paused, "the claim may no longer stand")
+		}
 	}
 	a.sidecar.flights.begin(a.offer)
 	defer a.sidecar.flights.end(a.offer)
@@ -291,11 +298,12 @@
 	a.sidecar.noteOutcome(a.offer, o)
 	if a.answer != nil {
 		a.answer.Complete = o.Complete
-		a.sidecar.Keys.Finish(a.offer, o, a.answer)
+		a.sidecar.Keys.Finish(a.key, o, a.answer)
 	}
 	if o.NotRun && !a.begun {
 		return result.Errorf(o.Code, "%s", o.Detail)
 	}
+	a.sidecar.metrics.end(o.Code)
 	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_End{End: &wire.End{
 		RequestId: a.offer.RequestId,
 		Attempt:   a.offer.Attempt,
@@ -321,9 +329,10 @@
 
 func (a *attempt) refuse(cause error) error {
 	code := result.CodeOf(cause)
+	a.sidecar.metrics.refusal(code)
 	r := &wire.Refused{
 		Code:         uint32(code),
-		Detail:       cause.Error(),
+		Detail:       result.DetailOf(cause),
 		NotRun:       code.Info().NotRun,
 		RetryAfterMs: uint64(result.RetryAfterOf(cause).Milliseconds()),
 	}
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -25,7 +25,7 @@
 
 func (c *collected) Head(int, http.Header) error { return nil }
 
-func (c *collected) Data(p []byte) error {
+func (c *collected) Data(p []byte, _ table.Tokens) error {
 	c.raw.Write(p)
 	if c.came != nil {
 		c.came()
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -148,6 +148,18 @@
 	return Internal
 }
 
+// OfKey says that the code refuses a request for its idempotency key.
+func (c Code) OfKey() bool { return c >= KeyBodyDiffers && c < StaleTable }
+
+// DetailOf gives what an error says beside its code.
+func DetailOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Detail
+	}
+	return err.Error()
+}
+
 // RetryAfterOf gives how long a caller should wait, zero for unsaid.
 func RetryAfterOf(err error) time.Duration {
 	var e *Error
