Run a caller's idempotency key at most once without a store

Cause: a caller that repeats a booking through another gateway, or after a VM was replaced, must not have it run again, and nothing of the system may be written to shared state.

Ruled out: a home alone (its restart forgets the key), and counting on a witness merely because it is reachable (a young one knows nothing).

Change: internal/booking, a core without I/O: claims at a rendezvous home and its witnesses, extension past young witnesses, releases that name their claim, records handed on by a process that drains. A model walks all orders of events of three nodes, with one fault of six kinds.

--- /dev/null
+++ b/internal/booking/model_test.go
@@ -0,0 +1,372 @@
+package booking
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// The model runs the cores of a small fleet and takes every possible next
+// step. Time stands still, a window and more after the start: whoever was
+// there then is old, whoever starts or joins later is young.
+
+const modelWindow = time.Hour
+
+var (
+	modelStart = time.Unix(1_000_000, 0)
+	modelNow   = modelStart.Add(2 * modelWindow)
+	modelHash  = []byte("hash")
+)
+
+type packetKind byte
+
+const (
+	ask packetKind = iota
+	reply
+	telling
+)
+
+type packet struct {
+	kind     packetKind
+	from, to int
+	// incarnation is the asker's: a reply never reaches a later process.
+	incarnation int
+	claimID     ClaimID
+	request     *wire.ClaimRequest
+	reply       *wire.ClaimReply
+	// orphan says that the asker has given up.
+	orphan bool
+}
+
+type runState byte
+
+const (
+	permitted runState = iota
+	forwarded
+)
+
+type pendingRun struct {
+	node  int
+	ref   Ref
+	state runState
+	no    int
+}
+
+type node struct {
+	vm          fleet.VM
+	core        *Core
+	incarnation int
+	up          bool
+	draining    bool
+	// view indexes world.views.
+	view int
+}
+
+type world struct {
+	key     Key
+	nodes   []node
+	gates   [2]int
+	views   []uint
+	packets []packet
+	pending []pendingRun
+	// out has a bit for each node that operators took out.
+	out      uint
+	sends    int
+	refusals int
+	runs     int
+	faults   []string
+	refs     Ref
+	// broken says which promise does not hold; empty for none.
+	broken string
+	depth  int
+}
+
+type modelOptions struct {
+	nodes, sends, faults, witnesses int
+	// order is the key's order of the names, the joining "j" included.
+	order string
+	kinds []string
+	// maxStates bounds the search; reaching it fails the test.
+	maxStates int
+}
+
+func dataCentreOf(name byte) string {
+	if strings.IndexByte("cd", name) >= 0 {
+		return "dc2"
+	}
+	return "dc1"
+}
+
+func newWorld(o modelOptions) *world {
+	w := &world{key: keyWithOrder(o.order), sends: o.sends, refusals: 1}
+	for i := range len(o.order) {
+		name := "abcdefgh"[i : i+1]
+		if i == o.nodes {
+			name = "j"
+		}
+		vm := fleet.VM{Name: fleet.VMName(name), DataCentre: "dc1"}
+		if dataCentreOf(name[0]) == "dc2" {
+			vm.DataCentre = "dc2"
+		}
+		w.nodes = append(w.nodes, node{vm: vm})
+	}
+	w.views = []uint{1<<o.nodes - 1}
+	for i := range o.nodes {
+		w.start(i, modelStart, o.witnesses)
+	}
+	return w
+}
+
+// keyWithOrder looks for a key whose rendezvous order is the one wanted.
+func keyWithOrder(order string) Key {
+	var vms []fleet.VM
+	for _, n := range order {
+		vms = append(vms, fleet.VM{Name: fleet.VMName(n)})
+	}
+	for i := 0; ; i++ {
+		k := Key{"ward", fmt.Sprint("key_", i)}
+		got := ""
+		for _, vm := range Order(k, vms) {
+			got += string(vm.Name)
+		}
+		if got == order {
+			return k
+		}
+	}
+}
+
+func (w *world) start(i int, at time.Time, witnesses int) {
+	n := &w.nodes[i]
+	n.incarnation++
+	n.up = true
+	n.core = &Core{
+		Self: n.vm, Incarnation: fleet.Incarnation(fmt.Sprint(n.vm.Name, n.incarnation)),
+		Window: modelWindow, Witnesses: witnesses,
+	}
+	n.view = len(w.views) - 1
+	n.core.Handle(at, ViewChanged{Members: w.members(n.view)})
+}
+
+func (w *world) members(view int) []fleet.VM {
+	var vms []fleet.VM
+	for i := range w.nodes {
+		if w.views[view]&(1<<i) != 0 {
+			vms = append(vms, w.nodes[i].vm)
+		}
+	}
+	return vms
+}
+
+// clone copies what steps change in place; cores are copied when they are used.
+func (w *world) clone() *world {
+	v := *w
+	v.nodes = slices.Clone(w.nodes)
+	v.views = slices.Clone(w.views)
+	v.packets = slices.Clone(w.packets)
+	v.pending = slices.Clone(w.pending)
+	v.faults = slices.Clone(w.faults)
+	v.depth++
+	return &v
+}
+
+func (c *Core) clone() *Core {
+	d := *c
+	d.records = make(map[Key]*record, len(c.records))
+	d.rounds = make(map[ClaimID]*record, len(c.rounds))
+	d.runs = make(map[Ref]*record, len(c.runs))
+	for k, r := range c.records {
+		s := *r
+		if r.round != nil {
+			round := *r.round
+			round.waiting = maps.Clone(r.round.waiting)
+			s.round = &round
+		}
+		d.records[k] = &s
+		if c.rounds[r.claimID] == r {
+			d.rounds[r.claimID] = &s
+		}
+		if c.runs[r.ref] == r {
+			d.runs[r.ref] = &s
+		}
+	}
+	return &d
+}
+
+func (w *world) handle(i int, m Message) {
+	n := &w.nodes[i]
+	n.core = n.core.clone()
+	for _, e := range n.core.Handle(modelNow, m) {
+		switch e := e.(type) {
+		case Run:
+			w.pending = append(w.pending, pendingRun{node: i, ref: e.Ref})
+		case AnswerRecorded:
+			w.checkAnswer(e.Answer)
+		case AskWitness:
+			w.packets = append(w.packets, packet{
+				kind: ask, from: i, to: w.index(e.To.Name), incarnation: n.incarnation, claimID: e.ClaimID, request: e.Request,
+			})
+		case TellWitness:
+			w.packets = append(w.packets, packet{kind: telling, from: i, to: w.index(e.To.Name), request: e.Request})
+		default:
+		}
+	}
+}
+
+func (w *world) checkAnswer(a *wire.StoredAnswer) {
+	if got := string(a.Body); got != "run 1" || w.runs == 0 {
+		w.broken = "answer"
+	}
+}
+
+func (w *world) index(name fleet.VMName) int {
+	return slices.IndexFunc(w.nodes, func(n node) bool { return n.vm.Name == name })
+}
+
+// deliver takes packet p out of the network and hands it over.
+func (w *world) deliver(p int) {
+	k := w.packets[p]
+	w.packets = slices.Delete(w.packets, p, p+1)
+	n := &w.nodes[k.to]
+	if !n.up {
+		w.fail(k)
+		return
+	}
+	if k.kind == reply {
+		if n.incarnation == k.incarnation {
+			w.handle(k.to, WitnessReplied{k.claimID, w.nodes[k.from].vm.Name, k.reply})
+		}
+		return
+	}
+	n.core = n.core.clone()
+	effects := n.core.Handle(modelNow, ClaimCame{Request: k.request})
+	if k.kind == ask && !k.orphan {
+		w.packets = append(w.packets, packet{
+			kind: reply, from: k.to, to: k.from, incarnation: k.incarnation, claimID: k.claimID,
+			reply: effects[0].(ReplyClaim).Reply,
+		})
+	}
+}
+
+// fail tells the asker that its ask or the reply to it went nowhere.
+func (w *world) fail(k packet) {
+	asker, witness := k.from, k.to
+	if k.kind == reply {
+		asker, witness = k.to, k.from
+	}
+	n := w.nodes[asker]
+	if k.kind == telling || k.orphan || !n.up || n.incarnation != k.incarnation {
+		return
+	}
+	w.handle(asker, WitnessFailed{k.claimID, w.nodes[witness].vm.Name})
+}
+
+// prune drops packets that can change nothing any more.
+func (w *world) prune() {
+	w.packets = slices.DeleteFunc(w.packets, func(k packet) bool {
+		n := w.nodes[k.to]
+		switch k.kind {
+		case telling:
+			return !n.up
+		case reply:
+			return !n.up || n.incarnation != k.incarnation || n.core.rounds[k.claimID] == nil
+		default:
+			return k.orphan && !n.up
+		}
+	})
+}
+
+// settled says that nothing can run or be answered any more.
+func (w *world) settled() bool {
+	if w.sends > 0 {
+		return false
+	}
+	for _, n := range w.nodes {
+		if n.up && len(n.core.rounds) > 0 {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(w.pending, func(p pendingRun) bool { return p.state == permitted })
+}
+
+// fingerprint names the state; two worlds with one name behave alike.
+func (w *world) fingerprint() uint64 {
+	last := w.views[len(w.views)-1]
+	b := make([]byte, 0, 512)
+	for _, v := range [...]int{
+		int(w.views[w.gates[0]]), int(w.views[w.gates[1]]),
+		int(last), w.sends, w.refusals, w.runs, int(w.out),
+	} {
+		b = append(b, byte(v))
+	}
+	for _, n := range w.nodes {
+		b = append(b, '|', byte(n.incarnation), byte(w.views[n.view]), bit(n.up)|bit(n.draining)<<1)
+		if n.up {
+			b = n.core.appendState(b, w.key)
+		}
+	}
+	ps := make([]string, 0, len(w.packets))
+	for _, k := range w.packets {
+		p := append(make([]byte, 0, 64), byte(k.kind), byte(k.from), byte(k.to), byte(k.incarnation), byte(k.claimID), bit(k.orphan))
+		ps = append(ps, string(appendReply(appendRequest(p, k.request), k.reply)))
+	}
+	slices.Sort(ps)
+	for _, p := range ps {
+		b = append(append(b, p...), ';')
+	}
+	for _, p := range w.pending {
+		b = append(b, byte(p.node), byte(p.ref), byte(p.state), byte(p.no))
+	}
+	b = append(b, strings.Join(w.faults, ",")...)
+	return xxhash.Sum64(b)
+}
+
+func bit(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func appendRequest(b []byte, q *wire.ClaimRequest) []byte {
+	if q == nil {
+		return b
+	}
+	b = append(append(b, q.HomeIncarnation...), byte(q.ClaimId), bit(q.Release))
+	if q.Answer != nil {
+		b = append(append(b, '='), q.Answer.Body...)
+	}
+	return b
+}
+
+func appendReply(b []byte, y *wire.ClaimReply) []byte {
+	if y == nil {
+		return b
+	}
+	b = append(b, byte(y.Code), byte(y.Code>>8), bit(y.UpMs > 0), bit(y.Answer != nil))
+	return append(b, y.Home...)
+}
+
+func (c *Core) appendState(b []byte, k Key) []byte {
+	b = append(b, byte(c.claims), bit(c.since.Equal(modelNow))|bit(c.draining)<<1)
+	r := c.records[k]
+	if r == nil {
+		return b
+	}
+	b = appendRequest(append(b, byte('0'+r.state)), r.told())
+	if r.state != asking && r.state != running {
+		return b
+	}
+	d := r.round
+	b = append(b, byte(r.ref), byte(d.asked), byte(d.old), byte(d.worst), byte(d.worst>>8), bit(d.answer != nil))
+	for _, vm := range d.candidates {
+		b = append(b, vm.Name[0], bit(d.waiting[vm.Name]))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/booking/order.go
@@ -0,0 +1,85 @@
+package booking
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Members gives the VMs of the view that take work for a plain service: live
+// sidecars whose upstream and data centre are in. A view without a table has
+// none.
+func Members(v *fleet.View, s table.ServiceName) []fleet.VM {
+	if v == nil || v.Table == nil {
+		return nil
+	}
+	var out []fleet.VM
+	for _, vm := range v.VMs.VMs {
+		if vm.Role == fleet.Sidecar && vm.State == fleet.Live && takesWork(v.Table, vm, s) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func takesWork(t *table.Table, vm fleet.VM, s table.ServiceName) bool {
+	u, ok := t.Upstreams[vm.Upstream]
+	if !ok || u.State == table.Out || !slices.Contains(u.Serves, s) {
+		return false
+	}
+	return t.DataCentres[vm.DataCentre].State != table.Out
+}
+
+// Order gives the VMs in the key's order of rendezvous hashes. The first is
+// the home. The given slice is left as it is.
+func Order(k Key, vms []fleet.VM) []fleet.VM {
+	type ranked struct {
+		score uint64
+		vm    fleet.VM
+	}
+	rs := make([]ranked, 0, len(vms))
+	for _, vm := range vms {
+		rs = append(rs, ranked{score(k, vm.Name), vm})
+	}
+	slices.SortFunc(rs, func(a, b ranked) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.vm.Name, b.vm.Name)
+	})
+	out := make([]fleet.VM, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, r.vm)
+	}
+	return out
+}
+
+// score hashes VM, account and key with a separator that names cannot hold.
+func score(k Key, vm fleet.VMName) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range [...]string{string(vm), string(k.Account), k.Text} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// witnesses orders the VMs other than self as witnesses: the first of another
+// data centre goes ahead of the others, which keep the key's order.
+func witnesses(k Key, self fleet.VM, vms []fleet.VM) []fleet.VM {
+	order := Order(k, vms)
+	order = slices.DeleteFunc(order, func(vm fleet.VM) bool { return vm.Name == self.Name })
+	far := slices.IndexFunc(order, func(vm fleet.VM) bool { return vm.DataCentre != self.DataCentre })
+	if far <= 0 {
+		return order
+	}
+	first := order[far]
+	copy(order[1:far+1], order[:far])
+	order[0] = first
+	return order
+}
--- /dev/null
+++ b/internal/booking/steps_test.go
@@ -0,0 +1,246 @@
+package booking
+
+import (
+	"math/bits"
+	"slices"
+	"strings"
+
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// step is one thing that may happen next; fault is empty for ordinary ones.
+type step struct {
+	fault string
+	do    func(w *world)
+}
+
+// steps lists everything that may happen next.
+func (w *world) steps(o modelOptions) []step {
+	var out []step
+	out = w.sendSteps(out)
+	out = w.packetSteps(out, o)
+	out = w.runSteps(out)
+	out = w.viewSteps(out, o)
+	if len(w.faults) < o.faults {
+		out = w.nodeFaults(out, o)
+	}
+	return out
+}
+
+func (w *world) sendSteps(out []step) []step {
+	if w.sends == 0 {
+		return out
+	}
+	for g, view := range w.gates {
+		if g == 1 && w.views[view] == w.views[w.gates[0]] {
+			break
+		}
+		out = append(out, step{do: func(w *world) { w.send(view) }})
+	}
+	return out
+}
+
+// send is the caller's first request or a repeat, through a gateway that
+// holds the given view.
+func (w *world) send(view int) {
+	w.sends--
+	w.refs++
+	home := w.index(Order(w.key, w.members(view))[0].Name)
+	if w.nodes[home].up {
+		w.handle(home, Begin{Ref: w.refs, Key: w.key, BodyHash: modelHash})
+	}
+}
+
+func (w *world) packetSteps(out []step, o modelOptions) []step {
+	lose := [...]string{ask: "lose_ask", reply: "lose_reply", telling: "lose_tell"}
+	for p, k := range w.packets {
+		out = append(out, step{do: func(w *world) { w.deliver(p) }})
+		if len(w.faults) >= o.faults {
+			continue
+		}
+		if slices.Contains(o.kinds, "lose") {
+			out = append(out, step{lose[k.kind], func(w *world) {
+				w.packets = slices.Delete(w.packets, p, p+1)
+				w.fail(k)
+			}})
+		}
+		if k.kind == ask && !k.orphan && slices.Contains(o.kinds, "late") {
+			out = append(out, step{"late_ask", func(w *world) {
+				w.packets[p].orphan = true
+				w.fail(k)
+			}})
+		}
+	}
+	return out
+}
+
+// runSteps goes on with permitted runs. That they may come at any later step
+// is the pause of a home between claim and run.
+func (w *world) runSteps(out []step) []step {
+	for i, p := range w.pending {
+		if p.state == forwarded {
+			out = append(out, step{do: func(w *world) { w.end(i, false) }})
+			continue
+		}
+		out = append(out, step{do: func(w *world) { w.forward(i) }})
+		if w.refusals > 0 {
+			out = append(out, step{do: func(w *world) { w.refusals--; w.end(i, true) }})
+		}
+	}
+	return out
+}
+
+func (w *world) forward(i int) {
+	w.runs++
+	w.pending[i].state = forwarded
+	w.pending[i].no = w.runs
+	if w.runs > 1 {
+		w.broken = "twice"
+	}
+}
+
+func (w *world) end(i int, notRun bool) {
+	p := w.pending[i]
+	w.pending = slices.Delete(w.pending, i, i+1)
+	m := Finished{Ref: p.ref, NotRun: notRun}
+	if !notRun {
+		m.Answer = &wire.StoredAnswer{Status: 201, Body: []byte("run 1"), Complete: true}
+		if p.no != 1 {
+			m.Answer.Body = []byte("run 2")
+		}
+	}
+	w.handle(p.node, m)
+}
+
+// viewSteps lets a process learn the newest view, restarts what crashed,
+// brings back what is out and ends what has drained.
+func (w *world) viewSteps(out []step, o modelOptions) []step {
+	last := len(w.views) - 1
+	for g := range w.gates {
+		if w.views[w.gates[g]] != w.views[last] {
+			out = append(out, step{do: func(w *world) { w.gates[g] = last }})
+		}
+	}
+	for i, n := range w.nodes {
+		if n.core == nil {
+			continue
+		}
+		if n.up && w.views[n.view] != w.views[last] {
+			out = append(out, step{do: func(w *world) { w.learnView(i) }})
+		}
+		if n.draining && n.up && w.idle(i) {
+			out = append(out, step{do: func(w *world) { w.nodes[i].up = false }})
+		}
+		if !n.up && w.views[last]&(1<<i) != 0 && !n.draining {
+			out = append(out, step{do: func(w *world) { w.start(i, modelNow, o.witnesses) }})
+			if bits.OnesCount(w.views[last]) > 1 {
+				out = append(out, step{do: func(w *world) { w.show(w.views[last] &^ (1 << i)) }})
+			}
+		}
+	}
+	if w.out != 0 {
+		out = append(out, step{do: func(w *world) {
+			w.show(w.views[last] | w.out)
+			w.out = 0
+		}})
+	}
+	return out
+}
+
+func (w *world) learnView(i int) {
+	n := &w.nodes[i]
+	n.view = len(w.views) - 1
+	w.handle(i, ViewChanged{Members: w.members(n.view)})
+}
+
+func (w *world) show(view uint) { w.views = append(w.views, view) }
+
+// idle says that a draining node has nothing left to send or to finish.
+func (w *world) idle(i int) bool {
+	for _, k := range w.packets {
+		if k.from == i && k.kind != reply {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(w.pending, func(p pendingRun) bool { return p.node == i })
+}
+
+// role names a node by its place in the key's order at the start.
+func (w *world) role(i int) string {
+	all := w.members(0)
+	home := Order(w.key, all)[0]
+	if w.nodes[i].vm.Name == home.Name {
+		return "home"
+	}
+	for at, vm := range witnesses(w.key, home, all) {
+		if vm.Name == w.nodes[i].vm.Name && at < DefaultWitnesses {
+			return "witness"
+		}
+	}
+	if w.views[0]&(1<<i) == 0 {
+		return "joined"
+	}
+	return "other"
+}
+
+func (w *world) nodeFaults(out []step, o modelOptions) []step {
+	last := w.views[len(w.views)-1]
+	has := func(kind string) bool { return slices.Contains(o.kinds, kind) }
+	for i, n := range w.nodes {
+		if n.core == nil {
+			if has("join") {
+				out = append(out, step{"join", func(w *world) { w.join(i, o) }})
+			}
+			continue
+		}
+		if !n.up {
+			continue
+		}
+		if has("crash") {
+			out = append(out, step{"crash_" + w.role(i), func(w *world) { w.crash(i) }})
+		}
+		if has("drain") && !n.draining && bits.OnesCount(last&^(1<<i)) > 0 && last&(1<<i) != 0 {
+			out = append(out, step{"drain_" + w.role(i), func(w *world) { w.drain(i) }})
+		}
+	}
+	if has("out") && w.out == 0 {
+		for _, dc := range [...]string{"dc1", "dc2"} {
+			if gone := w.inside(dc) & last; gone != 0 && gone != last {
+				out = append(out, step{"out_" + strings.ToLower(dc), func(w *world) {
+					w.out = gone
+					w.show(last &^ gone)
+				}})
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) inside(dc string) uint {
+	var set uint
+	for i, n := range w.nodes {
+		if n.core != nil && string(n.vm.DataCentre) == dc {
+			set |= 1 << i
+		}
+	}
+	return set
+}
+
+func (w *world) join(i int, o modelOptions) {
+	w.show(w.views[len(w.views)-1] | 1<<i)
+	w.start(i, modelNow, o.witnesses)
+}
+
+// crash ends a process at once. Its memory and its permitted runs are gone;
+// what it had forwarded goes on at the upstream unheard.
+func (w *world) crash(i int) {
+	w.nodes[i].up = false
+	w.nodes[i].draining = false
+	w.pending = slices.DeleteFunc(w.pending, func(p pendingRun) bool { return p.node == i })
+}
+
+func (w *world) drain(i int) {
+	w.nodes[i].draining = true
+	w.show(w.views[len(w.views)-1] &^ (1 << i))
+	w.handle(i, Draining{})
+}
--- /dev/null
+++ b/internal/booking/witness.go
@@ -0,0 +1,143 @@
+package booking
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// claimCame serves another process's claim, release or answer.
+func (c *Core) claimCame(now time.Time, q *wire.ClaimRequest) *wire.ClaimReply {
+	k := Key{Account: table.AccountName(q.Account), Text: q.Key}
+	r := c.find(now, k)
+	y := &wire.ClaimReply{}
+	switch {
+	case q.Release:
+		c.dropClaim(r, q)
+	case q.Answer == nil && c.own(q):
+		// A claim of one's own came back from a member that drains.
+	case r == nil:
+		c.recordClaim(now, k, q, y)
+	case r.bodyHash != string(q.BodyHash):
+		refuseClaim(y, r, result.KeyBodyDiffers)
+	case q.Answer != nil:
+		c.recordAnswer(now, r, q.Answer)
+	default:
+		c.meetClaim(now, r, q, y)
+	}
+	y.UpMs = uint64(c.up(now) / time.Millisecond)
+	return y
+}
+
+// own says whether the claim is one of this very process.
+func (c *Core) own(q *wire.ClaimRequest) bool {
+	return q.Home == string(c.Self.Name) && q.HomeIncarnation == string(c.Incarnation)
+}
+
+// dropClaim takes back exactly the claim that the release names: a release
+// that comes late must not free a later claim.
+func (c *Core) dropClaim(r *record, q *wire.ClaimRequest) {
+	if r != nil && r.state == claimed && r.sameClaimant(q) && uint64(r.claimID) == q.ClaimId {
+		c.forget(r)
+	}
+}
+
+func (c *Core) recordClaim(now time.Time, k Key, q *wire.ClaimRequest, y *wire.ClaimReply) {
+	r := c.add(now, k, q.BodyHash)
+	if r == nil {
+		y.Code = uint32(result.KeyTableFull)
+		return
+	}
+	r.state = claimed
+	r.home = fleet.VMName(q.Home)
+	r.incarnation = fleet.Incarnation(q.HomeIncarnation)
+	r.claimID = ClaimID(q.ClaimId)
+	if q.Answer != nil {
+		r.settle(now, c.bounded(q.Answer))
+	}
+}
+
+// recordAnswer keeps an outcome. A round of one's own learns it instead and
+// ends with it.
+func (c *Core) recordAnswer(now time.Time, r *record, a *wire.StoredAnswer) {
+	switch r.state {
+	case asking:
+		r.round.learn(a)
+	case running:
+		// Its own outcome is on the way.
+	default:
+		r.settle(now, c.bounded(a))
+	}
+}
+
+// meetClaim answers a claim for a key that is already held.
+func (c *Core) meetClaim(now time.Time, r *record, q *wire.ClaimRequest, y *wire.ClaimReply) {
+	switch r.state {
+	case asking:
+		// Two processes believe themselves home: both back off.
+		r.round.object(result.KeyClaimedElsewhere)
+		refuseClaim(y, r, result.KeyClaimedElsewhere)
+	case running:
+		refuseClaim(y, r, result.KeyInProgress)
+	case answered:
+		refuseClaim(y, r, result.KeyClaimedElsewhere)
+		y.Answer = r.answer
+	case unknown:
+		refuseClaim(y, r, result.KeyOutcomeUnknown)
+	default:
+		if r.sameClaimant(q) && q.ClaimId >= uint64(r.claimID) {
+			// The home itself knows that its earlier claim never ran.
+			r.claimID = ClaimID(q.ClaimId)
+			r.touched = now
+			return
+		}
+		refuseClaim(y, r, result.KeyClaimedElsewhere)
+	}
+}
+
+func refuseClaim(y *wire.ClaimReply, r *record, code result.Code) {
+	y.Code = uint32(code)
+	y.Home = string(r.home)
+	y.HomeIncarnation = string(r.incarnation)
+	y.BodyHash = []byte(r.bodyHash)
+}
+
+// drain hands every finished or witnessed record to the members that would
+// hold it if this process had never been: a fleet replaced one by one forgets
+// nothing.
+func (c *Core) drain(now time.Time) []Effect {
+	if c.draining {
+		return nil
+	}
+	c.draining = true
+	var rs []*record
+	for _, r := range c.records {
+		if r.live(now, c.Window) && r.state >= claimed {
+			rs = append(rs, r)
+		}
+	}
+	slices.SortFunc(rs, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.key.Account, b.key.Account), cmp.Compare(a.key.Text, b.key.Text))
+	})
+	var out []Effect
+	for _, r := range rs {
+		out = append(out, c.handOn(r)...)
+	}
+	return out
+}
+
+func (c *Core) handOn(r *record) []Effect {
+	heirs := slices.DeleteFunc(slices.Clone(c.members), func(vm fleet.VM) bool { return vm.Name == c.Self.Name })
+	if len(heirs) == 0 {
+		return nil
+	}
+	home := Order(r.key, heirs)[0]
+	rest := witnesses(r.key, home, heirs)
+	heirs = append([]fleet.VM{home}, rest[:min(c.Witnesses, len(rest))]...)
+	return tell(heirs, r.told())
+}
