--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -37,3 +37,18 @@
 		c.Handle(now, Finished{ID: id, Clean: true, Tokens: 50, TokenGap: 20 * time.Millisecond})
 	}
 }
+
+// BenchmarkPark parks 1,000 offers of as many client accounts; its bytes over
+// 1,000 are what a parked offer takes.
+func BenchmarkPark(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		c := &Core{Upstream: table.Upstream{Limit: 1, State: table.In}}
+		for n := range 1001 {
+			c.Handle(epoch, Offered{
+				ID: OfferID(n), Account: table.AccountName(fmt.Sprint("account_", n)),
+				Class: notice, Weight: 1, Arrived: epoch, Deadline: epoch.Add(time.Hour),
+			})
+		}
+	}
+}
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -238,3 +238,46 @@
 	assert.Equal(t, s.core.State().Limit, 8)
 	s.golden()
 }
+
+func TestLimitGrowsOnlyWhenUsed(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.note("one at a time: the first step is earned, the second is not")
+	for range 6 {
+		s.offer(notice, "ward", 1)
+		s.finish(1, clean(notice))
+	}
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.note("a missed target above the cold limit ends the ramp")
+	s.offer(notice, "ward", 6)
+	s.finish(2, clean(notice))
+	s.finish(3, Finished{Clean: true, TokenGap: 61 * time.Millisecond})
+	assert.DeepEqual(t, s.core.State(), State{Limit: 2, InFlight: 1})
+	s.finish(1, clean(notice))
+	s.note("one at a time does not widen a warm limit that was cut")
+	for range 6 {
+		s.offer(notice, "ward", 1)
+		s.finish(1, clean(notice))
+	}
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.golden()
+}
+
+func TestHigherLoadIsNoJump(t *testing.T) {
+	s := newSession(t, 8, 8)
+	s.warmQuietly(notice)
+	s.note("first tokens are usual at a load of one")
+	for range minSamples {
+		id := s.offer(notice, "ward", 1)
+		s.run()
+		s.send(FirstTokenCame{ID: id, After: 100 * time.Millisecond})
+		s.finish(1, clean(notice))
+	}
+	s.note("slow ones at a load of six to eight turn nothing cold")
+	s.offer(notice, "ward", 8)
+	s.run()
+	for _, id := range s.running()[5:] {
+		s.send(FirstTokenCame{ID: id, After: 900 * time.Millisecond})
+	}
+	assert.Assert(t, !s.core.State().Cold)
+	s.golden()
+}
