Let each gateway speak to as many sidecars as the fleet's size asks for

Cause: with 64 sidecars a service and 10 models, a gateway of the size to design for would speak to up to 640 sidecars, each sidecar to some 200 gateways: at a report each 400 ms that is some 500 reports a second from one sidecar, over the 24 KB/s of control. Ruled out: a longer heartbeat, since a frozen sidecar would be found later; a fixed small subset, since today's few gateways would leave replicas out. The setting's default and the test of defaults move from 64 to 8 with its new meaning.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -317,7 +317,7 @@
 		StopSettle: setting.Duration{Duration: stopSettle},
 		MaxWaiting: setting.Count{N: 4096},
 		RetryShare: setting.Share{Part: 0.1},
-		Subset:     setting.Count{N: 64},
+		Subset:     setting.Count{N: 8},
 	}
 	s.Name = fleet.VMName(fmt.Sprintf("vm_gateway_%d", n))
 	s.DataCentre = dataCentre(t, n)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	MaxWaiting int
 	// RetryShare is how many retries a request earns.
 	RetryShare float64
-	// Subset is how many sidecars of a service the gateway speaks to.
+	// Subset is the least number of sidecars of a service that it speaks to.
 	Subset int
 	// Seed fixes choices between equals.
 	Seed uint64
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jasminewing.dev/jasminewing/internal/dispatch"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
@@ -130,69 +126,3 @@
 	})
 	m.gateway.Fleet.Behind(table.Revision(r.TableRevision), fleet.ListVersion(r.VmListVersion), c.Address)
 }
-
-// subset gives the sidecars that a gateway speaks to: for each service and
-// data centre the first by rendezvous hashing, so that at full size neither
-// side holds a connection to every other.
-func subset(gateway fleet.VMName, v *fleet.View, most int) []dispatch.Member {
-	type group struct {
-		kind    table.UpstreamKind
-		service table.ServiceName
-		dc      table.DataCentreName
-	}
-	groups := make(map[group][]dispatch.Member)
-	perService := make(map[table.ServiceName]map[table.DataCentreName]bool)
-	for _, vm := range v.VMs.VMs {
-		row, ok := v.Table.Upstreams[vm.Upstream]
-		if !ok || vm.Role != fleet.Sidecar {
-			continue
-		}
-		for _, s := range row.Serves {
-			if perService[s] == nil {
-				perService[s] = make(map[table.DataCentreName]bool)
-			}
-			perService[s][vm.DataCentre] = true
-			k := group{row.Kind, s, vm.DataCentre}
-			groups[k] = append(groups[k], member(v.Table, vm, row))
-		}
-	}
-	chosen := make(map[dispatch.Candidate]dispatch.Member)
-	for k, all := range groups {
-		share := (most + len(perService[k.service]) - 1) / len(perService[k.service])
-		for _, m := range nearest(gateway, all, share, k.kind) {
-			chosen[m.Candidate] = m
-		}
-	}
-	members := make([]dispatch.Member, 0, len(chosen))
-	for _, m := range chosen {
-		members = append(members, m)
-	}
-	slices.SortFunc(members, func(a, b dispatch.Member) int { return cmp.Compare(a.Candidate.VM, b.Candidate.VM) })
-	return members
-}
-
-// nearest gives the first by rendezvous hashing. Plain services are few and a
-// key's home may be any of them, so all of these are kept.
-func nearest(gateway fleet.VMName, all []dispatch.Member, most int, kind table.UpstreamKind) []dispatch.Member {
-	if kind == table.Plain || len(all) <= most {
-		return all
-	}
-	rank := func(m dispatch.Member) uint64 {
-		return xxhash.Sum64String(string(gateway) + "\x00" + string(m.Candidate.VM))
-	}
-	slices.SortFunc(all, func(a, b dispatch.Member) int { return cmp.Compare(rank(a), rank(b)) })
-	return all[:most]
-}
-
-func member(t *table.Table, vm fleet.VM, row table.Upstream) dispatch.Member {
-	out := t.WhyOut(row)
-	if out == result.OK && vm.State == fleet.Leaving {
-		out = result.UpstreamLeaving
-	}
-	return dispatch.Member{
-		Candidate:  dispatch.Candidate{VM: vm.Name, Upstream: vm.Upstream, Address: vm.Address},
-		Row:        row,
-		DataCentre: vm.DataCentre,
-		Out:        out,
-	}
-}
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -13,7 +13,7 @@
 
 	MaxWaiting Count `long:"max-waiting" env:"JASMINEWING_MAX_WAITING" value-name:"N" default:"4096" description:"most requests that wait here"`
 	RetryShare Share `long:"retry-share" env:"JASMINEWING_RETRY_SHARE" value-name:"SHARE" default:"0.1" description:"share of requests that may be tried again, 0 to 1"`
-	Subset     Count `long:"subset" env:"JASMINEWING_SUBSET" value-name:"N" default:"64" description:"sidecars of one service that this gateway speaks to"`
+	Subset     Count `long:"subset" env:"JASMINEWING_SUBSET" value-name:"N" default:"8" description:"least number of sidecars of one service that this gateway speaks to"`
 }
 
 // Bounds of a gateway's settings.
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -53,7 +53,7 @@
 	assert.Equal(t, g.StopLimit.Duration, time.Duration(0))
 	assert.Equal(t, g.MaxWaiting.N, 4096)
 	assert.Equal(t, g.RetryShare.Part, 0.1)
-	assert.Equal(t, g.Subset.N, 64)
+	assert.Equal(t, g.Subset.N, 8)
 	var s Sidecar
 	assert.Equal(t, lines(read(t, &s, sidecarArgs)), "")
 	assert.Equal(t, s.MaxParked.N, 1024)
--- a/internal/sidecar/reports.go
+++ b/internal/sidecar/reports.go
@@ -5,16 +5,20 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
-
-	"jasminewing.dev/jasminewing/internal/fleet"
 )
 
 // reportInterval is how often a report is sent when nothing changes; it is
 // the heartbeat by which gateways know that the sidecar runs.
 const reportInterval = 400 * time.Millisecond
 
+// reportGap is the least time between two reports that both take work, or both
+// refuse it for the same reason.
+const reportGap = 100 * time.Millisecond
+
 // reports holds the current state and wakes those who watch it.
 type reports struct {
 	mu       sync.Mutex
@@ -56,21 +60,33 @@
 	}
 }
 
-// Watch sends a report at once, on each change and at a steady interval.
+// Watch sends a report at once, on each change and at a steady interval. A
+// change of why work is refused goes out at once; any other waits for the least
+// gap, so that a queue that fills and empties many times a second does not
+// become as many messages to every gateway.
 func (w *Work) Watch(r *wire.WatchRequest, stream wire.DRPCWork_WatchStream) error {
 	s := w.Sidecar
 	s.Fleet.Behind(table.Revision(r.TableRevision), fleet.ListVersion(r.VmListVersion), "")
 	changed, stop := s.reports.watch()
 	defer stop()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	heartbeat := time.NewTimer(reportInterval)
+	defer heartbeat.Stop()
+	var sent time.Time
+	var told result.Code
 	for {
-		if err := stream.Send(s.report()); err != nil {
-			return err
+		if wait := reportGap - time.Since(sent); wait <= 0 || s.reports.get().Refusing != told {
+			report := s.report()
+			if err := stream.Send(report); err != nil {
+				return err
+			}
+			sent, told = time.Now(), result.Code(report.RefusingCode)
+			heartbeat.Reset(reportInterval)
+		} else {
+			heartbeat.Reset(wait)
 		}
 		select {
 		case <-changed:
-		case <-ticker.C:
+		case <-heartbeat.C:
 		case <-stream.Context().Done():
 			return nil
 		}
