Hold a request that ends upstreams to two of them

Cause: a caller that repeats a request through each gateway in turn takes one upstream after the other, for each gateway learns for itself.

Ruled out: a plain counter per request, which gossip counts twice; the latest time of a mark, which lets peers keep a suspicion alive by telling it back and forth; forgetting on a clean run, which gossip undoes.

Change: internal/suspect, a core without I/O. A suspicion is a set of marks, one per death, merged by earliest time and by clearing.

Conclusion: two is kept only while the share outruns the caller.

--- /dev/null
+++ b/internal/suspect/core.go
@@ -0,0 +1,249 @@
+// Package suspect keeps a request that ends upstreams from ending many of
+// them. It does no I/O; gateways and sidecars hold a core each.
+//
+// All requests in flight at an upstream that dies are suspect, named by client
+// account and body. A suspect runs with nothing beside it, at one upstream of
+// the fleet only. There an innocent request comes to a clean end and is
+// cleared; a second death puts the request in quarantine, in which it is
+// refused everywhere, also by processes that have only heard of it.
+//
+// A suspicion is a set of marks, one for each death. Peers exchange marks, and
+// merging them gives the same in any order and any number of times.
+//
+// # Usage
+//
+//	c := &suspect.Core{}
+//	c.Handle(now, suspect.Died{Incarnation: id, Fingerprints: inFlight})
+//	deaths, solo, refuse := c.Verdict(now, f)
+//	// refuse: result.Suspect; solo: only at suspect.Place(f, vms), alone
+//	peer.Handle(now, suspect.Heard{Suspicions: c.Share(now)})
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// Defaults of Core.
+const (
+	DefaultQuarantine = 10 * time.Minute
+	DefaultMaxMarks   = 4096
+)
+
+const (
+	// quarantineDeaths is how many deaths put a request in quarantine.
+	quarantineDeaths = 2
+	// grace is how long a lapsed mark is kept, uncounted, so that a peer whose
+	// clock of it runs a little late does not bring it back.
+	grace = time.Minute
+)
+
+// mark is one death that a request is suspected of.
+type mark struct {
+	// at is the earliest time of the death that was heard of. A later one would
+	// let a mark live on as peers tell it back and forth.
+	at      time.Time
+	cleared bool
+}
+
+type markKey struct {
+	fingerprint Fingerprint
+	incarnation fleet.Incarnation
+}
+
+// Core holds the suspicions of one process. Set the exported fields before
+// use; zero values stand for the defaults.
+type Core struct {
+	// Quarantine is how long after a death a suspicion holds.
+	Quarantine time.Duration
+	// MaxMarks bounds the marks held; the oldest goes first.
+	MaxMarks int
+
+	marks map[markKey]mark
+	// deaths indexes marks by request.
+	deaths map[Fingerprint][]fleet.Incarnation
+}
+
+func (c *Core) setDefaults() {
+	if c.marks != nil {
+		return
+	}
+	c.marks = make(map[markKey]mark)
+	c.deaths = make(map[Fingerprint][]fleet.Incarnation)
+	if c.Quarantine <= 0 {
+		c.Quarantine = DefaultQuarantine
+	}
+	if c.MaxMarks <= 0 {
+		c.MaxMarks = DefaultMaxMarks
+	}
+}
+
+// Handle takes one message and returns what is to be done.
+func (c *Core) Handle(now time.Time, m Message) []Effect {
+	c.setDefaults()
+	var out []Effect
+	switch m := m.(type) {
+	case Died:
+		for _, f := range m.Fingerprints {
+			out = append(out, c.add(now, markKey{f, m.Incarnation}, mark{at: now})...)
+		}
+	case Heard:
+		for _, s := range m.Suspicions {
+			out = append(out, c.hear(now, s)...)
+		}
+	case Clean:
+		out = c.clear(now, m.Fingerprint)
+	case Ticked:
+		c.lapse(now)
+	}
+	c.shrink()
+	return compact(out)
+}
+
+// Verdict says what may be done with a request: deaths is how many upstreams
+// it is suspected of, solo that it may run only alone and at its Place, refuse
+// that it may not run.
+func (c *Core) Verdict(now time.Time, f Fingerprint) (deaths int, solo, refuse bool) {
+	for _, i := range c.deaths[f] {
+		m := c.marks[markKey{f, i}]
+		if !m.cleared && now.Sub(m.at) < c.Quarantine {
+			deaths++
+		}
+	}
+	return deaths, deaths > 0, deaths >= quarantineDeaths
+}
+
+// Share gives all marks for peers, in a steady order. One that was cleared has
+// no deaths.
+func (c *Core) Share(now time.Time) []*wire.Suspicion {
+	keys := make([]markKey, 0, len(c.marks))
+	for k, m := range c.marks {
+		if now.Sub(m.at) < c.Quarantine {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, compareKeys)
+	out := make([]*wire.Suspicion, 0, len(keys))
+	for _, k := range keys {
+		m := c.marks[k]
+		s := &wire.Suspicion{
+			Fingerprint: []byte(k.fingerprint),
+			Deaths:      1,
+			AgeMs:       uint64(max(0, now.Sub(m.at)) / time.Millisecond),
+			DeathsOf:    []string{string(k.incarnation)},
+		}
+		if m.cleared {
+			s.Deaths = 0
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (c *Core) hear(now time.Time, s *wire.Suspicion) []Effect {
+	age := time.Duration(min(s.AgeMs, uint64(c.Quarantine/time.Millisecond))) * time.Millisecond
+	if age >= c.Quarantine {
+		return nil
+	}
+	var out []Effect
+	for _, i := range s.DeathsOf {
+		k := markKey{Fingerprint(s.Fingerprint), fleet.Incarnation(i)}
+		out = append(out, c.add(now, k, mark{at: now.Add(-age), cleared: s.Deaths == 0})...)
+	}
+	return out
+}
+
+// add merges a mark: the earlier time and the clearing win.
+func (c *Core) add(now time.Time, k markKey, m mark) []Effect {
+	_, _, refused := c.Verdict(now, k.fingerprint)
+	held, ok := c.marks[k]
+	if !ok {
+		c.deaths[k.fingerprint] = append(c.deaths[k.fingerprint], k.incarnation)
+	} else {
+		m.cleared = m.cleared || held.cleared
+		if held.at.Before(m.at) {
+			m.at = held.at
+		}
+	}
+	c.marks[k] = m
+	var out []Effect
+	if !ok || m.cleared != held.cleared {
+		out = append(out, ShareNow{})
+	}
+	if deaths, _, refuse := c.Verdict(now, k.fingerprint); refuse && !refused {
+		out = append(out, Quarantined{k.fingerprint, deaths})
+	}
+	return out
+}
+
+// clear takes back the deaths that are known here; one that is not yet known
+// still counts when it is heard of.
+func (c *Core) clear(now time.Time, f Fingerprint) []Effect {
+	var out []Effect
+	for _, i := range slices.Clone(c.deaths[f]) {
+		k := markKey{f, i}
+		out = append(out, c.add(now, k, mark{at: c.marks[k].at, cleared: true})...)
+	}
+	return out
+}
+
+func (c *Core) lapse(now time.Time) {
+	for k, m := range c.marks {
+		if now.Sub(m.at) >= c.Quarantine+grace {
+			c.drop(k)
+		}
+	}
+}
+
+// shrink drops the oldest marks above the bound, cleared ones first.
+func (c *Core) shrink() {
+	excess := len(c.marks) - c.MaxMarks
+	if excess <= 0 {
+		return
+	}
+	keys := make([]markKey, 0, len(c.marks))
+	for k := range c.marks {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b markKey) int {
+		x, y := c.marks[a], c.marks[b]
+		if x.cleared != y.cleared {
+			if x.cleared {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(x.at.Compare(y.at), compareKeys(a, b))
+	})
+	for _, k := range keys[:excess] {
+		c.drop(k)
+	}
+}
+
+func (c *Core) drop(k markKey) {
+	delete(c.marks, k)
+	left := slices.DeleteFunc(c.deaths[k.fingerprint], func(i fleet.Incarnation) bool { return i == k.incarnation })
+	if len(left) == 0 {
+		delete(c.deaths, k.fingerprint)
+		return
+	}
+	c.deaths[k.fingerprint] = left
+}
+
+// compact keeps one ShareNow, at the end.
+func compact(es []Effect) []Effect {
+	n := len(es)
+	es = slices.DeleteFunc(es, func(e Effect) bool { return e == Effect(ShareNow{}) })
+	if len(es) < n {
+		es = append(es, ShareNow{})
+	}
+	return es
+}
+
+func compareKeys(a, b markKey) int {
+	return cmp.Or(cmp.Compare(a.fingerprint, b.fingerprint), cmp.Compare(a.incarnation, b.incarnation))
+}
--- /dev/null
+++ b/internal/suspect/core_test.go
@@ -0,0 +1,119 @@
+package suspect
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func verdict(c *Core, now time.Time, f Fingerprint) string {
+	deaths, solo, refuse := c.Verdict(now, f)
+	return fmt.Sprintf("deaths %d, solo %t, refuse %t", deaths, solo, refuse)
+}
+
+func TestSecondDeathQuarantines(t *testing.T) {
+	killer := FingerprintOf("ward", []byte("killer"))
+	a, b := &Core{}, &Core{}
+	a.Handle(start, Died{"u1", []Fingerprint{killer}})
+	a.Handle(start, Died{"u1", []Fingerprint{killer}})
+	assert.Equal(t, verdict(a, start, killer), "deaths 1, solo true, refuse false")
+	b.Handle(start, Died{"u2", []Fingerprint{killer}})
+	effects := b.Handle(start, Heard{a.Share(start)})
+	assert.DeepEqual(t, effects, []Effect{Quarantined{killer, 2}, ShareNow{}})
+	heard := &Core{}
+	heard.Handle(start, Heard{b.Share(start)})
+	assert.Equal(t, verdict(heard, start, killer), "deaths 2, solo true, refuse true")
+	end := start.Add(DefaultQuarantine)
+	assert.Equal(t, verdict(heard, end.Add(-time.Second), killer), "deaths 2, solo true, refuse true")
+	assert.Equal(t, verdict(heard, end, killer), "deaths 0, solo false, refuse false")
+}
+
+// An innocent is cleared everywhere by its clean solo run, and stale gossip
+// does not bring the suspicion back; a death not known then still counts.
+func TestCleanRunClears(t *testing.T) {
+	killer, innocent := FingerprintOf("ward", []byte("killer")), FingerprintOf("ward", []byte("label"))
+	a, b := &Core{}, &Core{}
+	a.Handle(start, Died{"u1", []Fingerprint{killer, innocent}})
+	stale := a.Share(start)
+	b.Handle(start, Heard{stale})
+	a.Handle(start, Clean{innocent})
+	b.Handle(start, Heard{a.Share(start)})
+	b.Handle(start, Heard{stale})
+	for _, c := range []*Core{a, b} {
+		assert.Equal(t, verdict(c, start, innocent), "deaths 0, solo false, refuse false")
+		assert.Equal(t, verdict(c, start, killer), "deaths 1, solo true, refuse false")
+	}
+	b.Handle(start, Died{"u2", []Fingerprint{innocent}})
+	a.Handle(start, Heard{b.Share(start)})
+	assert.Equal(t, verdict(a, start, innocent), "deaths 1, solo true, refuse false")
+}
+
+// Peers that tell a mark back and forth for long do not keep it alive.
+func TestGossipDoesNotRenew(t *testing.T) {
+	f := FingerprintOf("ward", []byte("killer"))
+	const transit = 3 * time.Millisecond
+	a, b := &Core{}, &Core{}
+	now := start
+	a.Handle(now, Died{"u1", []Fingerprint{f}})
+	for now.Before(start.Add(DefaultQuarantine + time.Second)) {
+		shared := a.Share(now)
+		now = now.Add(transit)
+		b.Handle(now, Heard{shared})
+		a, b = b, a
+	}
+	assert.Equal(t, len(a.Share(now))+len(b.Share(now)), 0)
+	end := start.Add(DefaultQuarantine + grace + time.Second)
+	a.Handle(end, Ticked{})
+	assert.Equal(t, len(a.marks)+len(a.deaths), 0)
+}
+
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var shares [][]*wire.Suspicion
+		for range 4 {
+			c := &Core{}
+			for range 6 {
+				f := FingerprintOf("ward", []byte{byte(r.IntN(3))})
+				at := start.Add(time.Duration(r.IntN(1000)) * time.Millisecond)
+				c.Handle(at, Died{fleet.Incarnation(fmt.Sprint("u", r.IntN(4))), []Fingerprint{f}})
+				if r.IntN(4) == 0 {
+					c.Handle(at, Clean{f})
+				}
+			}
+			shares = append(shares, c.Share(start.Add(time.Second)))
+		}
+		now := start.Add(time.Second)
+		want := &Core{}
+		for _, s := range shares {
+			want.Handle(now, Heard{s})
+		}
+		got := &Core{}
+		for _, i := range append(r.Perm(len(shares)), r.Perm(len(shares))...) {
+			got.Handle(now, Heard{shares[i]})
+		}
+		assert.Assert(t, maps.Equal(got.marks, want.marks))
+	}
+}
+
+func TestMarksAreBounded(t *testing.T) {
+	c := &Core{MaxMarks: 100}
+	last := FingerprintOf("ward", []byte("last"))
+	for i := range 1000 {
+		f := FingerprintOf("ward", fmt.Append(nil, i))
+		c.Handle(start.Add(time.Duration(i)*time.Millisecond), Died{"u1", []Fingerprint{f}})
+	}
+	c.Handle(start.Add(time.Second), Died{"u2", []Fingerprint{last}})
+	assert.Equal(t, len(c.marks), 100)
+	assert.Equal(t, len(c.deaths), 100)
+	assert.Equal(t, verdict(c, start.Add(time.Second), last), "deaths 1, solo true, refuse false")
+}
