Ask members that are out when no member can vouch for a key

Cause: with two faults in the model, taking one data centre out, back in, and then the other out ran a key twice: the members left had all been out.

Ruled out: witnesses that are out in every round, for a dead data centre that was taken out would then refuse every key homed there.

Change: a round whose members are too young to vouch also asks VMs that are out or leave; one of these that is silent is no objection.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -11,19 +11,22 @@
 //
 // A process that has not been a member for a whole key window cannot vouch
 // for older keys. The home asks further ranks until enough witnesses can, or
-// all members were asked.
+// all members were asked. In that case it also asks those that were taken out
+// or leave, for they may remember: operators may take one data centre out after
+// the other within a window.
 //
 // # Usage
 //
 //	c := &booking.Core{Self: vm, Incarnation: id, Window: 24 * time.Hour}
-//	c.Handle(now, booking.ViewChanged{Members: booking.Members(view, service)})
+//	members, out := booking.Members(view, service)
+//	c.Handle(now, booking.ViewChanged{Members: members, Out: out})
 //	for m := range messages {
 //		for _, e := range c.Handle(now, m) {
 //			// carry out the effect
 //		}
 //	}
 //
-// A gateway finds the home as Order(key, Members(view, service))[0].
+// A gateway finds the home as Order(key, members)[0].
 package booking
 
 import (
@@ -32,7 +35,6 @@
 
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
-	"jasminewing.dev/jasminewing/pkg/result"
 )
 
 // Defaults of Core.
@@ -67,6 +69,7 @@
 	ClaimTimeout time.Duration
 
 	members  []fleet.VM
+	out      []fleet.VM
 	member   bool
 	since    time.Time
 	draining bool
@@ -139,6 +142,7 @@
 
 func (c *Core) changeView(now time.Time, m ViewChanged) {
 	c.members = slices.Clone(m.Members)
+	c.out = slices.Clone(m.Out)
 	if m.Window > 0 {
 		c.Window = m.Window
 	}
@@ -216,7 +220,7 @@
 	c.sweep(now)
 	var late []ClaimID
 	for id, r := range c.rounds {
-		if now.Sub(r.round.started) >= c.ClaimTimeout {
+		if now.Sub(r.round.asking) >= c.ClaimTimeout {
 			late = append(late, id)
 		}
 	}
@@ -224,9 +228,18 @@
 	var out []Effect
 	for _, id := range late {
 		r := c.rounds[id]
-		r.round.object(result.WitnessUnreached)
-		clear(r.round.waiting)
-		out = append(out, c.decide(now, r)...)
+		out = append(out, c.timeOut(now, id, r)...)
+	}
+	return out
+}
+
+// timeOut takes every witness that is still waited for as unreached. Those
+// that are out are asked only then, with a time of their own.
+func (c *Core) timeOut(now time.Time, id ClaimID, r *record) []Effect {
+	var out []Effect
+	r.round.asking = now
+	for _, vm := range r.round.candidates[:r.round.asked] {
+		out = append(out, c.replied(now, id, vm.Name, nil)...)
 	}
 	return out
 }
--- a/internal/booking/explore_test.go
+++ b/internal/booking/explore_test.go
@@ -74,7 +74,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			u := explore(t, modelOptions{
-				nodes: 3, sends: 2, faults: 1, witnesses: 2, order: tt.order, kinds: allKinds, maxStates: 1_000_000,
+				sends: 2, faults: 1, witnesses: 2, order: tt.order, kinds: allKinds, maxStates: 1_000_000,
 			})
 			t.Logf("%d states, up to %d steps", u.states, u.deepest)
 			assert.DeepEqual(t, u.kinds(), []string(nil))
--- a/internal/booking/home.go
+++ b/internal/booking/home.go
@@ -25,14 +25,20 @@
 	r.home, r.incarnation, r.claimID = c.Self.Name, c.Incarnation, c.claims
 	r.state = asking
 	r.ref = m.Ref
-	r.round = &round{
-		started:    now,
-		candidates: witnesses(m.Key, c.Self, c.members),
-		waiting:    make(map[fleet.VMName]bool),
-	}
+	r.round = c.newRound(now, m.Key)
 	c.rounds[r.claimID] = r
 	c.runs[r.ref] = r
-	return c.ask(now, r, c.Witnesses)
+	return c.askMore(now, r)
+}
+
+func (c *Core) newRound(now time.Time, k Key) *round {
+	d := &round{started: now, waiting: make(map[fleet.VMName]bool)}
+	d.candidates = witnesses(k, c.Self, c.members)
+	d.members = len(d.candidates)
+	if c.Witnesses > 0 {
+		d.candidates = append(d.candidates, witnesses(k, c.Self, c.out)...)
+	}
+	return d
 }
 
 // repeat answers an offer whose key is known. It never runs it.
@@ -69,12 +75,14 @@
 	return result.KeyOutcomeUnknown
 }
 
-// ask asks n further witnesses, and decides when nobody is left to ask.
-func (c *Core) ask(now time.Time, r *record, n int) []Effect {
-	vms := r.round.next(n)
+// askMore asks further witnesses until enough of them can vouch for the whole
+// window, and decides when nobody is left to ask.
+func (c *Core) askMore(now time.Time, r *record) []Effect {
+	vms := r.round.next(c.Witnesses - r.round.old)
 	if len(vms) == 0 {
 		return c.decide(now, r)
 	}
+	r.round.asking = now
 	out := make([]Effect, 0, len(vms))
 	for _, vm := range vms {
 		out = append(out, AskWitness{vm, r.claimID, r.request()})
@@ -95,7 +103,7 @@
 	}
 	d := r.round
 	if d.worst == result.OK && d.answer == nil && d.old < c.Witnesses {
-		return c.ask(now, r, c.Witnesses-d.old)
+		return c.askMore(now, r)
 	}
 	return c.decide(now, r)
 }
--- a/internal/booking/message.go
+++ b/internal/booking/message.go
@@ -68,10 +68,13 @@
 	Request *wire.ClaimRequest
 }
 
-// ViewChanged gives the VMs that take work for the service, as Members
-// returns them, and the longest key window of the service's classes.
+// ViewChanged gives the VMs of the service, as Members returns them, and the
+// longest key window of the service's classes.
 type ViewChanged struct {
+	// Members take work.
 	Members []fleet.VM
+	// Out take no work but may still answer claims.
+	Out []fleet.VM
 	// Window is zero to keep the one in force.
 	Window time.Duration
 }
--- a/internal/booking/model_test.go
+++ b/internal/booking/model_test.go
@@ -11,6 +11,7 @@
 
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 // The model runs the cores of a small fleet and takes every possible next
@@ -19,6 +20,8 @@
 
 const modelWindow = time.Hour
 
+const outShift = 8
+
 var (
 	modelStart = time.Unix(1_000_000, 0)
 	modelNow   = modelStart.Add(2 * modelWindow)
@@ -65,7 +68,8 @@
 	incarnation int
 	up          bool
 	draining    bool
-	// view indexes world.views.
+	// view indexes world.views. A view has a bit for each member, and the same
+	// bit moved by outShift for a node that is out.
 	view int
 }
 
@@ -89,15 +93,16 @@
 }
 
 type modelOptions struct {
-	nodes, sends, faults, witnesses int
-	// order is the key's order of the names, the joining "j" included.
+	sends, faults, witnesses int
+	// order is the key's order of the names. Of them "j" joins later; "c" and
+	// "d" are in another data centre than the rest.
 	order string
 	kinds []string
 	// maxStates bounds the search; reaching it fails the test.
 	maxStates int
 }
 
-func dataCentreOf(name byte) string {
+func dataCentreOf(name byte) table.DataCentreName {
 	if strings.IndexByte("cd", name) >= 0 {
 		return "dc2"
 	}
@@ -106,19 +111,18 @@
 
 func newWorld(o modelOptions) *world {
 	w := &world{key: keyWithOrder(o.order), sends: o.sends, refusals: 1}
-	for i := range len(o.order) {
-		name := "abcdefgh"[i : i+1]
-		if i == o.nodes {
-			name = "j"
-		}
-		vm := fleet.VM{Name: fleet.VMName(name), DataCentre: "dc1"}
-		if dataCentreOf(name[0]) == "dc2" {
-			vm.DataCentre = "dc2"
-		}
+	names := []byte(strings.ReplaceAll(o.order, "j", ""))
+	slices.Sort(names)
+	present := len(names)
+	if present < len(o.order) {
+		names = append(names, 'j')
+	}
+	for _, n := range names {
+		vm := fleet.VM{Name: fleet.VMName(n), DataCentre: dataCentreOf(n)}
 		w.nodes = append(w.nodes, node{vm: vm})
 	}
-	w.views = []uint{1<<o.nodes - 1}
-	for i := range o.nodes {
+	w.views = []uint{1<<present - 1}
+	for i := range present {
 		w.start(i, modelStart, o.witnesses)
 	}
 	return w
@@ -151,13 +155,17 @@
 		Window: modelWindow, Witnesses: witnesses,
 	}
 	n.view = len(w.views) - 1
-	n.core.Handle(at, ViewChanged{Members: w.members(n.view)})
+	n.core.Handle(at, w.viewChanged(n.view))
+}
+
+func (w *world) viewChanged(view int) ViewChanged {
+	return ViewChanged{Members: w.members(w.views[view]), Out: w.members(w.views[view] >> outShift)}
 }
 
-func (w *world) members(view int) []fleet.VM {
+func (w *world) members(view uint) []fleet.VM {
 	var vms []fleet.VM
 	for i := range w.nodes {
-		if w.views[view]&(1<<i) != 0 {
+		if view&(1<<i) != 0 {
 			vms = append(vms, w.nodes[i].vm)
 		}
 	}
@@ -303,10 +311,10 @@
 		int(w.views[w.gates[0]]), int(w.views[w.gates[1]]),
 		int(last), w.sends, w.refusals, w.runs, int(w.out),
 	} {
-		b = append(b, byte(v))
+		b = append(b, byte(v), byte(v>>8))
 	}
 	for _, n := range w.nodes {
-		b = append(b, '|', byte(n.incarnation), byte(w.views[n.view]), bit(n.up)|bit(n.draining)<<1)
+		b = append(b, '|', byte(n.incarnation), byte(w.views[n.view]), byte(w.views[n.view]>>8), bit(n.up)|bit(n.draining)<<1)
 		if n.up {
 			b = n.core.appendState(b, w.key)
 		}
--- a/internal/booking/order.go
+++ b/internal/booking/order.go
@@ -11,27 +11,25 @@
 )
 
 // Members gives the VMs of the view that take work for a plain service: live
-// sidecars whose upstream and data centre are in. A view without a table has
-// none.
-func Members(v *fleet.View, s table.ServiceName) []fleet.VM {
+// sidecars whose upstream and data centre are in. Those that leave or were
+// taken out come second. A view without a table has none.
+func Members(v *fleet.View, s table.ServiceName) (members, out []fleet.VM) {
 	if v == nil || v.Table == nil {
-		return nil
+		return nil, nil
 	}
-	var out []fleet.VM
 	for _, vm := range v.VMs.VMs {
-		if vm.Role == fleet.Sidecar && vm.State == fleet.Live && takesWork(v.Table, vm, s) {
+		u, ok := v.Table.Upstreams[vm.Upstream]
+		if vm.Role != fleet.Sidecar || !ok || !slices.Contains(u.Serves, s) {
+			continue
+		}
+		dc := v.Table.DataCentres[vm.DataCentre]
+		if vm.State == fleet.Live && u.State != table.Out && dc.State != table.Out {
+			members = append(members, vm)
+		} else {
 			out = append(out, vm)
 		}
 	}
-	return out
-}
-
-func takesWork(t *table.Table, vm fleet.VM, s table.ServiceName) bool {
-	u, ok := t.Upstreams[vm.Upstream]
-	if !ok || u.State == table.Out || !slices.Contains(u.Serves, s) {
-		return false
-	}
-	return t.DataCentres[vm.DataCentre].State != table.Out
+	return members, out
 }
 
 // Order gives the VMs in the key's order of rendezvous hashes. The first is
--- a/internal/booking/round.go
+++ b/internal/booking/round.go
@@ -11,10 +11,15 @@
 // round is one asking of witnesses by a home.
 type round struct {
 	started time.Time
+	// asking is when a witness was last asked.
+	asking time.Time
 	// candidates are the witnesses in order; the first asked of them were asked.
 	candidates []fleet.VM
-	asked      int
-	waiting    map[fleet.VMName]bool
+	// members is how many of the candidates take work. The others come last and
+	// are asked for what they know: one that is silent is no objection.
+	members int
+	asked   int
+	waiting map[fleet.VMName]bool
 	// old counts witnesses that recorded the claim and would have known of any
 	// key of the window.
 	old int
@@ -52,10 +57,14 @@
 	}
 }
 
-// next takes up to n further candidates.
+// next takes up to n further members, or all that are out once no member is
+// left.
 func (d *round) next(n int) []fleet.VM {
-	if left := len(d.candidates) - d.asked; n > left {
-		n = left
+	switch {
+	case d.asked >= d.members:
+		n = len(d.candidates) - d.asked
+	case n > d.members-d.asked:
+		n = d.members - d.asked
 	}
 	vms := d.candidates[d.asked : d.asked+n]
 	d.asked += n
@@ -71,8 +80,8 @@
 		return false
 	}
 	delete(d.waiting, from)
-	if y == nil {
-		d.object(result.WitnessUnreached)
+	if y == nil || result.Code(y.Code) == result.KeyTableFull {
+		d.fail(from, y)
 		return true
 	}
 	if y.Answer != nil && result.Code(y.Code) != result.KeyBodyDiffers {
@@ -86,6 +95,20 @@
 	return true
 }
 
+// fail books a witness that could not record the claim.
+func (d *round) fail(from fleet.VMName, y *wire.ClaimReply) {
+	for _, vm := range d.candidates[d.members:] {
+		if vm.Name == from {
+			return
+		}
+	}
+	if y == nil {
+		d.object(result.WitnessUnreached)
+		return
+	}
+	d.object(result.KeyTableFull)
+}
+
 // learn keeps an outcome that another process recorded.
 func (d *round) learn(a *wire.StoredAnswer) {
 	if !a.Complete {
--- a/internal/booking/steps_test.go
+++ b/internal/booking/steps_test.go
@@ -45,7 +45,7 @@
 func (w *world) send(view int) {
 	w.sends--
 	w.refs++
-	home := w.index(Order(w.key, w.members(view))[0].Name)
+	home := w.index(Order(w.key, w.members(w.views[view]))[0].Name)
 	if w.nodes[home].up {
 		w.handle(home, Begin{Ref: w.refs, Key: w.key, BodyHash: modelHash})
 	}
@@ -133,14 +133,14 @@
 		}
 		if !n.up && w.views[last]&(1<<i) != 0 && !n.draining {
 			out = append(out, step{do: func(w *world) { w.start(i, modelNow, o.witnesses) }})
-			if bits.OnesCount(w.views[last]) > 1 {
+			if membersOf(w.views[last]) > 1 {
 				out = append(out, step{do: func(w *world) { w.show(w.views[last] &^ (1 << i)) }})
 			}
 		}
 	}
 	if w.out != 0 {
 		out = append(out, step{do: func(w *world) {
-			w.show(w.views[last] | w.out)
+			w.show(w.views[last]&^(w.out<<outShift) | w.out)
 			w.out = 0
 		}})
 	}
@@ -150,9 +150,11 @@
 func (w *world) learnView(i int) {
 	n := &w.nodes[i]
 	n.view = len(w.views) - 1
-	w.handle(i, ViewChanged{Members: w.members(n.view)})
+	w.handle(i, w.viewChanged(n.view))
 }
 
+func membersOf(view uint) int { return bits.OnesCount(view & (1<<outShift - 1)) }
+
 func (w *world) show(view uint) { w.views = append(w.views, view) }
 
 // idle says that a draining node has nothing left to send or to finish.
@@ -167,7 +169,7 @@
 
 // role names a node by its place in the key's order at the start.
 func (w *world) role(i int) string {
-	all := w.members(0)
+	all := w.members(w.views[0])
 	home := Order(w.key, all)[0]
 	if w.nodes[i].vm.Name == home.Name {
 		return "home"
@@ -199,16 +201,16 @@
 		if has("crash") {
 			out = append(out, step{"crash_" + w.role(i), func(w *world) { w.crash(i) }})
 		}
-		if has("drain") && !n.draining && bits.OnesCount(last&^(1<<i)) > 0 && last&(1<<i) != 0 {
+		if has("drain") && !n.draining && membersOf(last) > 1 && last&(1<<i) != 0 {
 			out = append(out, step{"drain_" + w.role(i), func(w *world) { w.drain(i) }})
 		}
 	}
 	if has("out") && w.out == 0 {
 		for _, dc := range [...]string{"dc1", "dc2"} {
-			if gone := w.inside(dc) & last; gone != 0 && gone != last {
+			if gone := w.inside(dc) & last; gone != 0 && membersOf(last&^gone) > 0 {
 				out = append(out, step{"out_" + strings.ToLower(dc), func(w *world) {
 					w.out = gone
-					w.show(last &^ gone)
+					w.show(last&^gone | gone<<outShift)
 				}})
 			}
 		}
@@ -241,6 +243,6 @@
 
 func (w *world) drain(i int) {
 	w.nodes[i].draining = true
-	w.show(w.views[len(w.views)-1] &^ (1 << i))
+	w.show(w.views[len(w.views)-1]&^(1<<i) | 1<<i<<outShift)
 	w.handle(i, Draining{})
 }
