Hold whole sessions of the booking core as golden files

Cause: the model proves what must never happen, not what callers are told.

Change: seven sessions (home, back-off, learning, young fleet, witness, bounds, drain) and a test that replaces five processes one after the other.

Conclusion: a rolling replacement keeps the answer, by handing records on.

--- /dev/null
+++ b/internal/booking/golden_test.go
@@ -0,0 +1,274 @@
+package booking
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// session is one core and the transcript of what it was told and wanted done.
+type session struct {
+	core Core
+	key  Key
+	now  time.Time
+	text strings.Builder
+}
+
+func (s *session) tell(m Message) {
+	fmt.Fprintf(&s.text, "%s > %s\n", s.now.Sub(modelStart), show(m))
+	for _, e := range s.core.Handle(s.now, m) {
+		fmt.Fprintf(&s.text, "    < %s\n", show(e))
+	}
+}
+
+func (s *session) pass(d time.Duration) { s.now = s.now.Add(d) }
+
+func (s *session) view(names, out string) {
+	s.tell(ViewChanged{Members: modelVMs(names), Out: modelVMs(out)})
+}
+
+func (s *session) begin(r Ref, body string) { s.tell(Begin{r, s.key, []byte(body)}) }
+
+func (s *session) reply(id ClaimID, from fleet.VMName, up time.Duration) {
+	s.tell(WitnessReplied{id, from, &wire.ClaimReply{UpMs: uint64(up / time.Millisecond)}})
+}
+
+// claim is a request of home b about the session's key.
+func (s *session) claim(id uint64, change func(q *wire.ClaimRequest)) {
+	q := &wire.ClaimRequest{
+		Account: string(s.key.Account), Key: s.key.Text, BodyHash: []byte("x"), Home: "b", HomeIncarnation: "b1", ClaimId: id,
+	}
+	if change != nil {
+		change(q)
+	}
+	s.tell(ClaimCame{Ref: ClaimRef(id), Request: q})
+}
+
+func modelVMs(names string) []fleet.VM {
+	var vms []fleet.VM
+	for _, n := range names {
+		vms = append(vms, fleet.VM{Name: fleet.VMName(n), DataCentre: dataCentreOf(byte(n))})
+	}
+	return vms
+}
+
+func show(v any) string {
+	name := strings.TrimPrefix(fmt.Sprintf("%T", v), "booking.")
+	switch v := v.(type) {
+	case ViewChanged:
+		return fmt.Sprintf("%s members=%s out=%s", name, showVMs(v.Members), showVMs(v.Out))
+	case Begin:
+		return fmt.Sprintf("%s ref=%d body=%s", name, v.Ref, v.BodyHash)
+	case Run:
+		return fmt.Sprintf("%s ref=%d before=%s", name, v.Ref, v.Before.Sub(modelStart))
+	case AnswerRecorded:
+		return fmt.Sprintf("%s ref=%d %s", name, v.Ref, showAnswer(v.Answer))
+	case Refuse:
+		return fmt.Sprintf("%s ref=%d %s: %s", name, v.Ref, v.Code, v.Detail)
+	case Finished:
+		return fmt.Sprintf("%s ref=%d not_run=%t %s", name, v.Ref, v.NotRun, showAnswer(v.Answer))
+	case AskWitness:
+		return fmt.Sprintf("%s to=%s %s", name, v.To.Name, showRequest(v.Request))
+	case TellWitness:
+		return fmt.Sprintf("%s to=%s %s", name, v.To.Name, showRequest(v.Request))
+	case ClaimCame:
+		return fmt.Sprintf("%s %s", name, showRequest(v.Request))
+	case WitnessReplied:
+		return fmt.Sprintf("%s claim=%d from=%s %s", name, v.ClaimID, v.From, showReply(v.Reply))
+	case ReplyClaim:
+		return fmt.Sprintf("%s %s", name, showReply(v.Reply))
+	default:
+		return fmt.Sprintf("%s %+v", name, v)
+	}
+}
+
+func showVMs(vms []fleet.VM) string {
+	var b strings.Builder
+	for _, vm := range vms {
+		b.WriteString(string(vm.Name))
+	}
+	return b.String()
+}
+
+func showAnswer(a *wire.StoredAnswer) string {
+	switch {
+	case a == nil:
+		return "no answer"
+	case !a.Complete:
+		return "outcome unknown"
+	default:
+		return fmt.Sprintf("answer=%d/%s", a.Status, a.Body)
+	}
+}
+
+func showRequest(q *wire.ClaimRequest) string {
+	s := fmt.Sprintf("home=%s/%s claim=%d body=%s", q.Home, q.HomeIncarnation, q.ClaimId, q.BodyHash)
+	if q.Release {
+		s += " release"
+	}
+	if q.Answer != nil {
+		s += " " + showAnswer(q.Answer)
+	}
+	return s
+}
+
+func showReply(y *wire.ClaimReply) string {
+	s := fmt.Sprintf("%s up=%s", result.Code(y.Code), time.Duration(y.UpMs)*time.Millisecond)
+	if y.Home != "" {
+		s += fmt.Sprintf(" held_by=%s/%s", y.Home, y.HomeIncarnation)
+	}
+	if y.Answer != nil {
+		s += " " + showAnswer(y.Answer)
+	}
+	return s
+}
+
+var modelAnswer = &wire.StoredAnswer{Status: 201, Body: []byte("crate 7"), Complete: true}
+
+// Whole sessions of one core, at node a unless the script says otherwise.
+func TestSessions(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(s *session)
+	}{
+		{"home_runs_once", func(s *session) {
+			s.view("abcd", "")
+			s.begin(1, "x")
+			s.begin(2, "x")
+			s.reply(1, "c", 2*modelWindow)
+			s.reply(1, "b", 2*modelWindow)
+			s.begin(3, "x")
+			s.tell(Finished{Ref: 1, Answer: modelAnswer})
+			s.begin(4, "x")
+			s.begin(5, "y")
+			s.pass(modelWindow - time.Second)
+			s.begin(6, "x")
+			s.pass(time.Second)
+			s.begin(7, "x")
+		}},
+		{"home_backs_off", func(s *session) {
+			s.view("abcd", "")
+			s.begin(1, "x")
+			s.reply(1, "c", 2*modelWindow)
+			s.tell(WitnessFailed{1, "b"})
+			s.begin(2, "x")
+			s.claim(9, nil)
+			s.reply(2, "c", 2*modelWindow)
+			s.reply(2, "b", 2*modelWindow)
+			s.begin(3, "x")
+			s.pass(DefaultClaimTimeout)
+			s.tell(Ticked{})
+			s.begin(4, "x")
+			s.tell(Withdrawn{4})
+			s.begin(5, "x")
+			s.reply(5, "c", 2*modelWindow)
+			s.reply(5, "b", 2*modelWindow)
+			s.tell(Finished{Ref: 5, NotRun: true})
+			s.begin(6, "x")
+		}},
+		{"home_learns", func(s *session) {
+			s.view("abcd", "")
+			s.begin(1, "x")
+			s.tell(WitnessReplied{1, "b", &wire.ClaimReply{Code: uint32(result.KeyClaimedElsewhere), Home: "e"}})
+			s.tell(WitnessReplied{1, "c", &wire.ClaimReply{Code: uint32(result.KeyClaimedElsewhere), Home: "b", Answer: modelAnswer}})
+			s.begin(2, "x")
+		}},
+		{"young_fleet", func(s *session) {
+			s.view("abcd", "e")
+			s.begin(1, "x")
+			s.reply(1, "c", time.Minute)
+			s.reply(1, "b", 2*modelWindow)
+			s.reply(1, "d", time.Minute)
+			s.tell(WitnessFailed{1, "e"})
+			s.tell(Finished{Ref: 1})
+			s.begin(2, "x")
+		}},
+		{"witness", func(s *session) {
+			s.view("abcd", "")
+			s.pass(time.Minute)
+			s.claim(1, nil)
+			s.claim(2, nil)
+			s.claim(1, func(q *wire.ClaimRequest) { q.Release = true })
+			s.claim(3, func(q *wire.ClaimRequest) { q.Home, q.HomeIncarnation = "d", "d1" })
+			s.claim(4, func(q *wire.ClaimRequest) { q.BodyHash = []byte("y") })
+			s.begin(1, "x")
+			s.claim(2, func(q *wire.ClaimRequest) { q.Answer = modelAnswer })
+			s.claim(5, func(q *wire.ClaimRequest) { q.Home, q.HomeIncarnation = "d", "d1" })
+			s.begin(2, "x")
+		}},
+		{"bounds", func(s *session) {
+			s.core.MaxRecords, s.core.MaxAnswerBytes = 1, 4
+			s.view("ab", "")
+			s.begin(1, "x")
+			s.reply(1, "b", 2*modelWindow)
+			s.tell(Finished{Ref: 1, Answer: modelAnswer})
+			s.begin(2, "x")
+			s.key = Key{"ward", "another"}
+			s.claim(1, nil)
+			s.pass(modelWindow)
+			s.claim(2, nil)
+		}},
+		{"drain", func(s *session) {
+			s.view("abcd", "")
+			s.claim(1, nil)
+			first := s.key
+			s.key = Key{"ward", "key_2"}
+			s.claim(2, func(q *wire.ClaimRequest) { q.Answer = modelAnswer })
+			s.tell(Draining{})
+			s.claim(3, func(q *wire.ClaimRequest) { q.Home = "c" })
+			s.key = first
+			s.begin(1, "x")
+			s.key = Key{"ward", "new"}
+			s.begin(2, "x")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &session{key: keyWithOrder("abcde"), now: modelStart}
+			s.core = Core{Self: modelVMs("a")[0], Incarnation: "a1", Window: modelWindow}
+			tt.script(s)
+			golden.Assert(t, s.text.String(), tt.name+".golden")
+		})
+	}
+}
+
+// A fleet whose processes are replaced one after the other, each drained and
+// started anew, still gives the answer of the run.
+func TestRollingReplacementForgetsNothing(t *testing.T) {
+	w := newWorld(modelOptions{sends: 9, witnesses: DefaultWitnesses, order: "abcde"})
+	flush := func() {
+		for len(w.packets) > 0 {
+			w.deliver(0)
+		}
+	}
+	w.send(0)
+	flush()
+	w.forward(0)
+	w.end(0, false)
+	flush()
+	for i := range w.nodes {
+		w.drain(i)
+		flush()
+		for n := range w.nodes {
+			w.learnView(n)
+		}
+		w.show(w.views[0])
+		w.start(i, modelNow, DefaultWitnesses)
+		for n := range w.nodes {
+			w.learnView(n)
+		}
+		w.nodes[i].draining = false
+		w.send(len(w.views) - 1)
+		flush()
+		assert.Equal(t, len(w.pending), 0, "after %s", w.nodes[i].vm.Name)
+		assert.Equal(t, w.answers, i+1)
+	}
+}
--- a/internal/booking/model_test.go
+++ b/internal/booking/model_test.go
@@ -85,6 +85,7 @@
 	sends    int
 	refusals int
 	runs     int
+	answers  int
 	faults   []string
 	refs     Ref
 	// broken says which promise does not hold; empty for none.
@@ -228,6 +229,7 @@
 }
 
 func (w *world) checkAnswer(a *wire.StoredAnswer) {
+	w.answers++
 	if got := string(a.Body); got != "run 1" || w.runs == 0 {
 		w.broken = "answer"
 	}
