Stop cutting the limit where cuts do not help

Cause: an upstream that misses its target even with one request, or runs at a fifth of its speed, was cut down to one in flight and its capacity was lost. Ruled out: a floor on the limit (right for no engine in particular) and judging by the engine's load report (it lags). Change: a row of cuts that halves the limit and leaves the gap is taken back; the gap then seen, by half more, stands in for the target until the gap falls. Mutations of each part turn the two new sessions red.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -15,6 +15,12 @@
 	cutFactor = 0.8
 	// roomFactor is the part of the target below which the limit may grow.
 	roomFactor = 0.9
+	// reachFactor is how far above the floor the gap may go where the target
+	// is out of reach.
+	reachFactor = 1.5
+	// helpFactor is what halving the limit must make of the gap, or better, to
+	// be of use.
+	helpFactor = 0.85
 )
 
 // stamp tells under which limit a grant was given.
@@ -41,6 +47,18 @@
 	unclean int
 	// warm is the limit while warm; its fraction is growth under way.
 	warm float64
+	cuts cuts
+}
+
+// cuts tells whether a row of cuts helps.
+type cuts struct {
+	// from is the limit before the row; zero outside one.
+	from float64
+	// worst is the largest gap in the row.
+	worst time.Duration
+	// floor is set while the target is out of reach: the gap that the fewest
+	// in flight had.
+	floor time.Duration
 }
 
 func (l *limiter) limit() int {
@@ -70,6 +88,7 @@
 	l.cold = true
 	l.ramp = l.coldLimit
 	l.warm = float64(l.ceiling)
+	l.cuts = cuts{}
 	l.unclean = 0
 	l.now.epoch++
 	l.nextStep()
@@ -98,37 +117,43 @@
 		return l.unclean >= errorBurst
 	}
 	l.unclean = 0
+	l.cuts.worst = max(l.cuts.worst, m.TokenGap)
 	if s.step != l.now.step {
 		return false
 	}
-	missed := target > 0 && m.TokenGap > target
 	if l.cold {
-		l.growCold(missed)
+		l.growCold(m.TokenGap, target)
 		return false
 	}
-	l.adapt(m.TokenGap, target, missed, full)
+	l.adapt(m.TokenGap, target, full)
 	return false
 }
 
+// aim is the gap to keep to: the target, or what can be had where even the
+// fewest in flight miss it.
+func (l *limiter) aim(target time.Duration) time.Duration {
+	if target <= 0 {
+		return 0
+	}
+	return max(target, time.Duration(reachFactor*float64(l.cuts.floor)))
+}
+
 // growCold widens the ramp by half once it was filled and a whole limit's worth
 // of what was granted at this step ended clean. A missed target above the cold
 // limit ends the ramp: the upstream is warm and bears less than its row says.
-func (l *limiter) growCold(missed bool) {
-	if missed {
-		if l.ramp > l.coldLimit {
-			l.goWarm(l.ramp)
-			l.cut()
-		}
+func (l *limiter) growCold(gap, target time.Duration) {
+	if l.ramp <= l.coldLimit {
+		l.setFloor(gap, target)
+	}
+	if aim := l.aim(target); aim > 0 && gap > aim {
+		l.goWarm(l.ramp)
+		l.miss(gap)
 		return
 	}
 	l.clean++
 	if l.clean < l.ramp || l.peak < l.ramp {
 		return
 	}
-	if l.ramp >= l.ceiling {
-		l.goWarm(l.ceiling)
-		return
-	}
 	l.ramp = min(l.ramp+max(l.ramp/2, 1), l.ceiling)
 	l.nextStep()
 	if l.ramp >= l.ceiling {
@@ -136,6 +161,17 @@
 	}
 }
 
+// setFloor notes the gap at the cold limit, below which no cut goes.
+func (l *limiter) setFloor(gap, target time.Duration) {
+	switch {
+	case gap <= 0:
+	case gap <= target:
+		l.cuts.floor = 0
+	case l.cuts.floor == 0 || gap < l.cuts.floor:
+		l.cuts.floor = gap
+	}
+}
+
 func (l *limiter) goWarm(limit int) {
 	l.cold = false
 	l.warm = float64(limit)
@@ -143,20 +179,44 @@
 }
 
 // adapt moves the warm limit: up by one a round, down by a part at once.
-func (l *limiter) adapt(gap, target time.Duration, missed, full bool) {
-	if missed {
-		l.cut()
+func (l *limiter) adapt(gap, target time.Duration, full bool) {
+	if target > 0 && gap <= 0 {
 		return
 	}
-	if target > 0 && gap <= 0 {
+	if l.better(gap, target) {
+		l.cuts = cuts{}
+	}
+	aim := l.aim(target)
+	if aim > 0 && gap > aim {
+		l.miss(gap)
 		return
 	}
-	if full && float64(gap) <= roomFactor*float64(target) {
+	l.cuts.from, l.cuts.worst = 0, 0
+	if full && float64(gap) <= roomFactor*float64(aim) {
 		l.warm = min(l.warm+1/l.warm, float64(l.ceiling))
 	}
 }
 
-func (l *limiter) cut() {
+// better says that the target came back into reach, or may have.
+func (l *limiter) better(gap, target time.Duration) bool {
+	floor := l.cuts.floor
+	return floor > 0 && (gap <= target || float64(gap) < helpFactor*float64(floor))
+}
+
+// miss cuts the limit, or takes a row of cuts back that was of no use: when the
+// gap stays at half the limit, fewer in flight only make fewer tokens.
+func (l *limiter) miss(gap time.Duration) {
+	if l.cuts.from == 0 {
+		l.cuts.from = l.warm
+		l.cuts.worst = max(l.cuts.worst, gap)
+	}
+	halved := l.warm <= max(l.cuts.from/2, 1)
+	if halved && float64(gap) > helpFactor*float64(l.cuts.worst) {
+		l.warm = min(l.cuts.from, float64(l.ceiling))
+		l.cuts = cuts{floor: gap}
+		l.nextStep()
+		return
+	}
 	l.warm = max(math.Floor(min(l.warm*cutFactor, l.warm-1)), 1)
 	l.nextStep()
 }
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -281,3 +281,38 @@
 	assert.Assert(t, !s.core.State().Cold)
 	s.golden()
 }
+
+func TestTargetOutOfReach(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.warmQuietly(notice)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.note("a straggler: cuts to half the limit leave the gap as it was, so they are taken back")
+	s.offer(notice, "ward", 60)
+	s.finish(8, slow)
+	s.finish(6, slow)
+	s.finish(4, slow)
+	assert.Equal(t, s.core.State().Limit, 8)
+	s.note("more than half above that gap is still too much")
+	s.finish(5, Finished{Clean: true, Tokens: 50, TokenGap: 110 * time.Millisecond})
+	assert.Equal(t, s.core.State().Limit, 6)
+	s.note("once the gap falls, the target holds again, and cuts that help go on")
+	s.finish(6, Finished{Clean: true, Tokens: 50, TokenGap: 59 * time.Millisecond})
+	s.finish(1, Finished{Clean: true, Tokens: 50, TokenGap: 80 * time.Millisecond})
+	s.finish(10, Finished{Clean: true, Tokens: 50, TokenGap: 62 * time.Millisecond})
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.golden()
+}
+
+func TestRampOutOfReach(t *testing.T) {
+	s := newSession(t, 4, 1)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.note("one alone misses the target: the ramp goes on while it gets no worse")
+	s.offer(notice, "ward", 12)
+	s.finish(4, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 3, InFlight: 3, Parked: 5, Cold: true})
+	s.note("twice the gap of one alone ends it")
+	slow.TokenGap *= 2
+	s.finish(2, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 2, InFlight: 2, Parked: 4})
+	s.golden()
+}
