Count a starving tier's turn by tokens as well as by grants

Cause: one grant in N gave answers of 600 and 200 tokens most of an upstream while tier 1, whose answers take 50 and whose demand fitted, missed its targets. Ruled out: a larger N (it is the operators' value, and lengths still differ) and counting tokens alone (short overdue answers would go in front of every grant). Change: an overdue offer has its tier's turn when others had N-1 grants and N-1 times its own estimate in tokens since the last. The random test's two checks on turns count both, so the bound from above is stricter; the bound on starving is in tokens where answers differ, for grants alone no longer promise it. Off by tokens or by grants, a test turns red.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,7 +23,9 @@
 	// sinceTurn counts grants since the last that went to an overdue offer of
 	// this tier out of the usual order.
 	sinceTurn int
-	scratch   []*offer
+	// tokensSince is what those grants were charged.
+	tokensSince float64
+	scratch     []*offer
 }
 
 // choice is the offer that goes next.
@@ -108,7 +110,7 @@
 	}
 	t.scratch = t.scratch[:0]
 	for _, o := range t.offers {
-		if t.sinceTurn >= o.starvationShare()-1 && o.overdue(now) {
+		if o.overdue(now) && t.earned(o) {
 			t.scratch = append(t.scratch, o)
 		}
 	}
@@ -125,6 +127,13 @@
 	return best
 }
 
+// earned says that enough went to others for o to have its tier's turn: one in N
+// of the grants, and of the tokens too, so that a long answer waits longer.
+func (t *tierQueue) earned(o *offer) bool {
+	others := o.starvationShare() - 1
+	return t.sinceTurn >= others && t.tokensSince >= float64(others)*o.cost
+}
+
 // next gives the offer of this tier that goes first: of those within their fair
 // part, the earliest due that can still be in time, else the oldest.
 func (t *tierQueue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) *offer {
@@ -160,8 +169,10 @@
 func (q *queue) took(ch choice) {
 	for _, t := range q.tiers {
 		t.sinceTurn++
+		t.tokensSince += ch.offer.cost
 	}
 	if ch.turn {
-		q.tier(ch.offer.Class.Tier).sinceTurn = 0
+		t := q.tier(ch.offer.Class.Tier)
+		t.sinceTurn, t.tokensSince = 0, 0
 	}
 }
