Hold suspects to one place in the fleet, and measure control slopes

Cause: a request that ends the upstream it runs on was had anew elsewhere at once, by its gateway or by its caller, and ended the next one too. Ruled out: waiting for gossip before a retry, since a gateway's own retry is faster than any gossip: the End message therefore names the death. BenchmarkControlSlopes watches a real gateway in fleets of some sizes.

--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -43,7 +43,7 @@
 
 // cluster is a fleet of real processes before stand-ins.
 type cluster struct {
-	t      *testing.T
+	t      testing.TB
 	config *standin.Config
 	vms    *standin.VMs
 	// tables is the directory of the table's files as they were at the start.
@@ -54,7 +54,7 @@
 }
 
 // newCluster starts the platform's stand-ins with the demo's table in force.
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, config: &standin.Config{}, vms: &standin.VMs{}, tables: t.TempDir()}
 	assert.NilError(t, demo.WriteTable(c.tables))
 	c.configAddr = c.serve(c.config.Service())
@@ -159,7 +159,7 @@
 
 // proc is a program of the fleet, or a stand-in, as a process of its own.
 type proc struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	vm      fleet.VM
 	admin   string
--- /dev/null
+++ b/cmd/jasminewing/slopes_test.go
@@ -0,0 +1,328 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/platform"
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	// slopeWindow is how long a process is watched for its processor time.
+	slopeWindow = 8 * time.Second
+	// slopeWarmUp is how long it runs before.
+	slopeWarmUp    = 3 * time.Second
+	reportInterval = 400 * time.Millisecond
+)
+
+// usage is what a process has used.
+type usage struct {
+	cpu      float64
+	resident float64
+}
+
+// used reads a process's own metrics.
+func (p *proc) used() usage {
+	resp, err := http.Get("http://" + p.admin + "/metrics")
+	assert.NilError(p.t, err)
+	defer resp.Body.Close()
+	var u usage
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, text, _ := strings.Cut(lines.Text(), " ")
+		value, _ := strconv.ParseFloat(text, 64)
+		switch name {
+		case "process_cpu_seconds_total":
+			u.cpu = value
+		case "process_resident_memory_bytes":
+			u.resident = value
+		}
+	}
+	return u
+}
+
+// watch gives the share of a core that the process takes, in percent, and its
+// memory after the window.
+func (p *proc) watch() (percent float64, after usage) {
+	time.Sleep(slopeWarmUp)
+	before := p.used()
+	begin := time.Now()
+	time.Sleep(slopeWindow)
+	after = p.used()
+	return 100 * (after.cpu - before.cpu) / time.Since(begin).Seconds(), after
+}
+
+// fakeFleet stands for all other processes: every VM of the list has its
+// address. It knows what a process of the fleet knows, and counts the bytes
+// that pass.
+type fakeFleet struct {
+	address string
+	task    *fleet.Task
+
+	mu    sync.Mutex
+	bytes int64
+	// watches is how many sidecars are being watched.
+	watches atomic.Int64
+}
+
+type countedListener struct {
+	net.Listener
+	fake *fakeFleet
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.fake}, err
+}
+
+type countedConn struct {
+	net.Conn
+	fake *fakeFleet
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.fake.count(n)
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.fake.count(n)
+	return n, err
+}
+
+func (f *fakeFleet) count(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes += int64(n)
+}
+
+func (f *fakeFleet) total() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return float64(f.bytes)
+}
+
+// Run refuses every offer.
+func (f *fakeFleet) Run(wire.DRPCWork_RunStream) error { return nil }
+
+// Watch reports at the interval of a sidecar.
+func (f *fakeFleet) Watch(_ *wire.WatchRequest, stream wire.DRPCWork_WatchStream) error {
+	f.watches.Add(1)
+	defer f.watches.Add(-1)
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	r := &wire.Report{Upstream: "up_1000", Incarnation: "0123456789abcdef", Limit: 16, InFlight: 8, TableRevision: 4, VmListVersion: 1450}
+	for {
+		if err := stream.Send(r); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// Sync answers as a process of the fleet does.
+func (f *fakeFleet) Sync(ctx context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
+	return f.task.HandleSync(ctx, r)
+}
+
+// mute calls nobody: the fake's own questions are not to be counted.
+type mute struct{}
+
+func (mute) Sync(context.Context, fleet.Address, *wire.SyncRequest) (*wire.SyncReply, error) {
+	return nil, errors.New("the fake calls nobody")
+}
+
+// Claim is not asked of a gateway.
+func (f *fakeFleet) Claim(context.Context, *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return &wire.ClaimReply{}, nil
+}
+
+func startFake(c *cluster) *fakeFleet {
+	l, err := net.Listen("tcp", loopback)
+	assert.NilError(c.t, err)
+	f := &fakeFleet{address: l.Addr().String()}
+	f.task = &fleet.Task{
+		Self:        fleet.VM{Name: "vm_0", DataCentre: fakeDataCentre, Address: fleet.Address(f.address)},
+		Incarnation: "fedcba9876543210",
+		Config:      &platform.Config{Client: platform.Client{Base: "http://" + c.configAddr}},
+		VMs:         &platform.VMs{Client: platform.Client{Base: "http://" + c.vmListAddr}},
+		Peers:       mute{},
+		Parse:       func([]fleet.Value) (*table.Table, error) { return &table.Table{}, nil },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return f.task.Run(ctx) })
+	g.Go(func() error {
+		return (&wire.Server{Secret: testSecret, Work: f, Peer: f}).Serve(ctx, countedListener{l, f})
+	})
+	c.t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	return f
+}
+
+// callPeer asks a process for a sync as its peers do.
+func callPeer(ctx context.Context, to string, perSecond int) {
+	d := &wire.Dialer{Secret: testSecret}
+	defer d.Close()
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_, _ = wire.NewDRPCPeerClient(d.To(to)).Sync(ctx, &wire.SyncRequest{From: "127.0.0.1:1", Incarnation: "f"})
+		}
+	}
+}
+
+// size is a size of the fleet that a gateway knows.
+type size struct {
+	accounts, vms, replicas, models int
+	// edits is how many rows change in the window.
+	edits int
+}
+
+func (s size) String() string {
+	return fmt.Sprintf("accounts=%d/vms=%d/replicas=%d/models=%d/edits=%d", s.accounts, s.vms, s.replicas, s.models, s.edits)
+}
+
+const (
+	accountParts   = 16
+	fakeDataCentre = "dc_fake"
+)
+
+// publish puts a table and VM list of the size in force.
+func (s size) publish(c *cluster, address string) {
+	var dcs, classes, upstreams strings.Builder
+	dcs.WriteString("name,region,state\nnorth,r1,in\n")
+	for n := 1; n < 8; n++ {
+		fmt.Fprintf(&dcs, "dc_%d,r%d,in\n", n, n/2+1)
+	}
+	classes.WriteString("name,tier,kind,idempotent,first_token,token_gap,deadline\nquick,1,engine,yes,1.6s,29ms,30s\n")
+	upstreams.WriteString("name,data_centre,kind,serves,limit,cold_limit\n")
+	for n := range s.replicas {
+		fmt.Fprintf(&upstreams, "up_%d,%s,engine,model_%d,16,1\n", n, place(n), n/8%s.models)
+	}
+	c.config.Set("data_centres", []byte(dcs.String()))
+	c.config.Set("classes", []byte(classes.String()))
+	c.config.Set("upstreams", []byte(upstreams.String()))
+	for part := range accountParts {
+		c.config.Set(fmt.Sprintf("accounts_%02d", part), s.accountPart(part, 0))
+	}
+	for n := range s.vms {
+		vm := fleet.VM{Name: fleet.VMName(fmt.Sprintf("vm_%d", n)), Role: fleet.Gateway, DataCentre: place(n), Address: fleet.Address(address), State: fleet.Live}
+		if n == 0 {
+			// The fake is the only process of its data centre, so that it reads
+			// the platform.
+			vm.DataCentre = fakeDataCentre
+		}
+		if n < s.replicas {
+			vm.Role, vm.Upstream = fleet.Sidecar, table.UpstreamName(fmt.Sprintf("up_%d", n))
+		}
+		c.vms.Set(vm)
+	}
+}
+
+func place(n int) table.DataCentreName {
+	if n%8 == 0 {
+		return "north"
+	}
+	return table.DataCentreName(fmt.Sprintf("dc_%d", n%8))
+}
+
+func (s size) accountPart(part, edit int) []byte {
+	var b strings.Builder
+	b.WriteString("name,key_sha256,classes,weight,requests_per_second,burst,comment\n")
+	for n := part; n < s.accounts; n += accountParts {
+		fmt.Fprintf(&b, "account_%d,%x,quick,5,20,40,edit %d\n", n, sha256.Sum256([]byte(strconv.Itoa(n))), edit)
+	}
+	return []byte(b.String())
+}
+
+// BenchmarkControlSlopes watches one real gateway that knows fleets of some
+// sizes and serves nobody. Run it with -benchtime 1x.
+func BenchmarkControlSlopes(b *testing.B) {
+	sizes := []size{
+		{accounts: 100, vms: 50, replicas: 30, models: 1},
+		{accounts: 1000, vms: 50, replicas: 30, models: 1},
+		{accounts: 5300, vms: 50, replicas: 30, models: 1},
+		{accounts: 5300, vms: 400, replicas: 300, models: 3},
+		{accounts: 5300, vms: 1450, replicas: 1100, models: 10},
+		{accounts: 5300, vms: 1450, replicas: 1100, models: 10, edits: 8},
+	}
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			for b.Loop() {
+				s.measure(b)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func (s size) measure(b *testing.B) {
+	c := &cluster{t: b, config: &standin.Config{}, vms: &standin.VMs{}}
+	c.configAddr = c.serve(c.config.Service())
+	c.vmListAddr = c.serve(c.vms.Service())
+	fake := startFake(c)
+	s.publish(c, fake.address)
+	c.await("fake", func() bool { return fake.task.View().Ready })
+	p := c.gateway("gw_measured", "north")
+	c.awaitReady(p)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go callPeer(ctx, string(p.vm.Address), 2)
+	go s.edit(ctx, c)
+	before := fake.total()
+	begin := time.Now()
+	percent, after := p.watch()
+	b.ReportMetric(float64(fake.watches.Load()), "watches")
+	b.ReportMetric(percent, "cpu-%")
+	b.ReportMetric(after.resident/1e6, "resident-MB")
+	b.ReportMetric((fake.total()-before)/time.Since(begin).Seconds()/1000, "peer-KB/s")
+	p.kill()
+}
+
+// edit changes a row at a steady rate over warm-up and window.
+func (s size) edit(ctx context.Context, c *cluster) {
+	if s.edits == 0 {
+		return
+	}
+	ticker := time.NewTicker(slopeWindow / time.Duration(s.edits))
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.config.Set(fmt.Sprintf("accounts_%02d", n%accountParts), s.accountPart(n%accountParts, n))
+		}
+	}
+}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
@@ -25,8 +26,7 @@
 	// maxKeyBytes is the most bytes of an idempotency key.
 	maxKeyBytes = 255
 	// bodyTimeout bounds how long a caller may take to send its body.
-	bodyTimeout      = 30 * time.Second
-	fingerprintBytes = 16
+	bodyTimeout = 30 * time.Second
 )
 
 // call is a caller's request that was understood.
@@ -187,15 +187,6 @@
 // keyed holds where an idempotency key decides whether the request runs.
 func (c *call) keyed() bool { return c.key != "" && !c.class.Idempotent }
 
-// fingerprint names the request across repeats by its caller.
-func (c *call) fingerprint() []byte {
-	h := sha256.New()
-	h.Write([]byte(c.account.Name))
-	h.Write([]byte{0})
-	h.Write(c.bodyHash[:])
-	return h.Sum(nil)[:fingerprintBytes]
-}
-
 // offer gives the message that is the same for every attempt but for number
 // and times.
 func (c *call) offer(gateway string) *wire.Offer {
@@ -206,7 +197,7 @@
 		Tier:          uint32(c.class.Tier),
 		CostTokens:    uint32(c.class.MaxTokens),
 		TableRevision: uint64(c.revision),
-		Fingerprint:   c.fingerprint(),
+		Fingerprint:   []byte(suspect.FingerprintOf(c.account.Name, c.bodyHash[:])),
 		Key:           c.key,
 		BodyHash:      c.bodyHash[:],
 		Idempotent:    c.class.Idempotent,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,16 +53,15 @@
 
 // Suspects knows requests that are suspected of ending upstreams.
 type Suspects interface {
-	// Judge says whether a request must run alone, or gives an error if it is
+	// Judge says whether a request is suspected, or gives an error if it is
 	// held back.
-	Judge(now time.Time, o *wire.Offer) (solo bool, err error)
+	Judge(now time.Time, o *wire.Offer) (suspected bool, err error)
 	// Place gives the one sidecar that may run a suspect.
 	Place(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
-}
-
-// Homes gives the one sidecar that may run a request with an idempotency key.
-type Homes interface {
-	Home(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
+	// Died tells of a request whose run met the death of an upstream.
+	Died(now time.Time, instance fleet.Incarnation, inFlight []*wire.Offer)
+	// Clean tells of a suspect that ran to its whole answer.
+	Clean(now time.Time, o *wire.Offer)
 }
 
 // Gateway is one run of the process. Its exported fields are set before Init.
@@ -72,7 +71,6 @@
 	Dialer    Dialer
 	Quota     Quota
 	Suspects  Suspects
-	Homes     Homes
 	Log       *event.Log
 	MaxBody   int64
 	MaxAnswer int64
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/booking"
 	"jasminewing.dev/jasminewing/internal/dispatch"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -21,6 +22,8 @@
 	data    []byte
 	detail  string
 	tokens  table.Tokens
+	// death names the death of an upstream that the attempt may have met.
+	death fleet.Incarnation
 }
 
 // run is the task of one request. It owns the dispatch core and the answer.
@@ -34,9 +37,10 @@
 	trace    *trace
 	inbox    chan arrival
 	streams  map[dispatch.AttemptNumber]*stream
-	solo     bool
-	tokens   table.Tokens
-	finish   dispatch.Finish
+	// suspected says that the request may have ended an upstream.
+	suspected bool
+	tokens    table.Tokens
+	finish    dispatch.Finish
 	// wake is when the core wants a Ticked.
 	wake time.Time
 	// last is the arrival that the core is being told of.
@@ -69,14 +73,11 @@
 }
 
 func (r *run) judge() (dispatch.Finish, bool) {
-	if r.gateway.Suspects == nil {
-		return dispatch.Finish{}, false
-	}
-	solo, err := r.gateway.Suspects.Judge(time.Now(), r.offer)
+	suspected, err := r.gateway.Suspects.Judge(time.Now(), r.offer)
 	if err != nil {
 		return r.refuse(result.CodeOf(err), result.DetailOf(err), result.RetryAfterOf(err)), true
 	}
-	r.solo = solo
+	r.suspected = suspected
 	return dispatch.Finish{}, false
 }
 
@@ -105,22 +106,29 @@
 // pick gives the next candidate. A key has one home and a suspect one place;
 // all else goes where the load is least.
 func (r *run) pick(now time.Time, tried map[dispatch.Candidate]bool) (dispatch.Candidate, bool) {
-	if r.call.keyed() && r.gateway.Homes != nil {
-		return r.pickVM(tried, func(vms []fleet.VM) (fleet.VM, bool) { return r.gateway.Homes.Home(r.offer, vms) })
-	}
-	if r.solo {
-		return r.pickVM(tried, func(vms []fleet.VM) (fleet.VM, bool) { return r.gateway.Suspects.Place(r.offer, vms) })
+	v := r.gateway.Fleet.View()
+	switch {
+	case r.call.keyed():
+		members, _ := booking.Members(v, r.call.class.Service)
+		home := booking.Order(booking.Key{Account: r.call.account.Name, Text: r.call.key}, members)
+		return untried(tried, home...)
+	case r.suspected:
+		place, ok := r.gateway.Suspects.Place(r.offer, v.Serving(r.call.class.Kind, r.call.service()))
+		if !ok {
+			return dispatch.Candidate{}, false
+		}
+		return untried(tried, place)
+	default:
+		return r.gateway.pool.Pick(now, r.call.class.Kind, r.call.service(), tried)
 	}
-	return r.gateway.pool.Pick(now, r.call.class.Kind, r.call.service(), tried)
 }
 
-func (r *run) pickVM(tried map[dispatch.Candidate]bool, choose func([]fleet.VM) (fleet.VM, bool)) (dispatch.Candidate, bool) {
-	v := r.gateway.Fleet.View()
-	vm, ok := choose(v.Serving(r.call.class.Kind, r.call.service()))
-	if !ok {
+// untried gives the first VM as a candidate, unless it was tried.
+func untried(tried map[dispatch.Candidate]bool, vms ...fleet.VM) (dispatch.Candidate, bool) {
+	if len(vms) == 0 {
 		return dispatch.Candidate{}, false
 	}
-	c := dispatch.Candidate{VM: vm.Name, Upstream: vm.Upstream, Address: vm.Address}
+	c := dispatch.Candidate{VM: vms[0].Name, Upstream: vms[0].Upstream, Address: vms[0].Address}
 	return c, !tried[c]
 }
 
@@ -163,6 +171,10 @@
 // tell hands a message to the core and carries out its effects.
 func (r *run) tell(ctx context.Context, a arrival) {
 	r.last = a
+	if a.death != "" {
+		r.suspected = true
+		r.gateway.Suspects.Died(time.Now(), a.death, []*wire.Offer{r.offer})
+	}
 	for _, e := range r.attempts.Handle(time.Now(), a.message) {
 		r.carryOut(ctx, e)
 	}
@@ -269,6 +281,9 @@
 func (r *run) conclude(f dispatch.Finish) {
 	r.finish = f
 	r.tokens = max(r.tokens, r.last.tokens)
+	if f.Code == result.OK && r.suspected {
+		r.gateway.Suspects.Clean(time.Now(), r.offer)
+	}
 	r.answer.detail = r.last.detail
 	r.trace.step("finished", "", f.Code)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
@@ -95,7 +96,7 @@
 			return arrival{}, false
 		}
 		end := dispatch.Ended{Attempt: s.number, Complete: k.End.Complete, Code: result.Code(k.End.Code)}
-		return arrival{message: end, detail: k.End.Detail, tokens: table.Tokens(k.End.Tokens)}, true
+		return arrival{message: end, detail: k.End.Detail, tokens: table.Tokens(k.End.Tokens), death: fleet.Incarnation(k.End.Death)}, true
 	default:
 		return arrival{}, false
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -14,6 +14,7 @@
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/gateway"
 	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
@@ -66,11 +67,12 @@
 	}
 }
 
-func (p *Gateway) gateway(f *fleet.Task, d *wire.Dialer, inc fleet.Incarnation) *gateway.Gateway {
+func (p *Gateway) gateway(f *fleet.Task, d *wire.Dialer, b *suspect.Book, inc fleet.Incarnation) *gateway.Gateway {
 	g := &gateway.Gateway{
 		Name:       p.Settings.Name,
 		Fleet:      f,
 		Dialer:     d,
+		Suspects:   b,
 		Log:        p.Log,
 		MaxBody:    p.Settings.MaxBody.N,
 		MaxAnswer:  p.Settings.MaxAnswer.N,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,6 +28,7 @@
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/platform"
 	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
@@ -102,7 +103,7 @@
 	if limit == 0 {
 		limit = stopForever
 	}
-	return fx.Options(fx.NopLogger, fx.StopTimeout(limit), fx.Provide(newGroup, newIncarnation))
+	return fx.Options(fx.NopLogger, fx.StopTimeout(limit), fx.Provide(newGroup, newIncarnation, newSuspects))
 }
 
 // group is the run group of a program: its tasks stop together, and the
@@ -145,7 +146,9 @@
 	return d
 }
 
-func newFleet(c *setting.Common, self fleet.VM, inc fleet.Incarnation, d *wire.Dialer, l *event.Log) *fleet.Task {
+func newSuspects(l *event.Log) *suspect.Book { return &suspect.Book{Log: l} }
+
+func newFleet(c *setting.Common, self fleet.VM, inc fleet.Incarnation, d *wire.Dialer, b *suspect.Book, l *event.Log) *fleet.Task {
 	return &fleet.Task{
 		Self:        self,
 		Incarnation: inc,
@@ -155,6 +158,7 @@
 		Seeds:       c.Peers,
 		Log:         l,
 		Parse:       parse,
+		Suspicions:  b,
 	}
 }
 
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -13,6 +13,7 @@
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/setting"
 	"jasminewing.dev/jasminewing/internal/sidecar"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
@@ -79,7 +80,7 @@
 	}
 }
 
-func (p *Sidecar) sidecar(f *fleet.Task, k *sidecar.Keys, c *engine.Client, inc fleet.Incarnation) *sidecar.Sidecar {
+func (p *Sidecar) sidecar(f *fleet.Task, k *sidecar.Keys, c *engine.Client, b *suspect.Book, inc fleet.Incarnation) *sidecar.Sidecar {
 	s := &sidecar.Sidecar{
 		UpstreamName: p.Settings.UpstreamName,
 		VM:           p.Settings.Name,
@@ -87,6 +88,7 @@
 		Fleet:        f,
 		Upstream:     c,
 		Keys:         k,
+		Suspects:     b,
 		Log:          p.Log,
 		MaxBody:      p.Settings.MaxBody.N,
 		MaxParked:    p.Settings.MaxParked.N,
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -8,7 +8,10 @@
 	"jasminewing.dev/jasminewing/internal/admission"
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 // followHealth asks the upstream for its health and tells the core of changes.
@@ -87,12 +90,12 @@
 }
 
 // noteOutcome learns from how a run ended.
-func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome) {
+func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome, suspected bool) {
 	switch {
 	case outcome.Died:
 		instance, inFlight := s.instance(), s.flights.all()
 		s.attempts.Go(func() { s.confirmDeath(instance, inFlight) })
-	case outcome.Complete && s.Suspects != nil:
+	case outcome.Complete && suspected:
 		s.Suspects.Clean(time.Now(), o)
 	}
 }
@@ -110,18 +113,34 @@
 // noteDeath makes all that was in flight suspect. It may be told of the same
 // death by each request that saw it: the instance names the death.
 func (s *Sidecar) noteDeath(instance string, inFlight []*wire.Offer) {
-	if len(inFlight) == 0 || s.Suspects == nil {
+	if len(inFlight) == 0 {
 		return
 	}
 	s.Log.WriteThrottled(event.RequestSuspect, string(s.UpstreamName), "in_flight", len(inFlight))
-	s.Suspects.Died(time.Now(), string(s.UpstreamName)+"/"+instance, inFlight)
+	s.Suspects.Died(time.Now(), s.deathOf(instance), inFlight)
 }
 
-func (s *Sidecar) suspicion(o *wire.Offer) (solo bool, err error) {
-	if s.Suspects == nil {
-		return false, nil
+// deathOf names the death of an instance of the upstream.
+func (s *Sidecar) deathOf(instance string) fleet.Incarnation {
+	return fleet.Incarnation(string(s.UpstreamName) + "/" + instance)
+}
+
+// suspicion says whether a request is suspected. A suspect has one place in
+// the fleet where it may run.
+func (s *Sidecar) suspicion(o *wire.Offer, c table.Class) (suspected bool, err error) {
+	suspected, err = s.Suspects.Judge(time.Now(), o)
+	if err != nil || !suspected {
+		return suspected, err
+	}
+	service := table.ServiceName(o.Model)
+	if c.Kind == table.Plain {
+		service = c.Service
+	}
+	place, ok := s.Suspects.Place(o, s.Fleet.View().Serving(c.Kind, service))
+	if ok && place.Name != s.VM {
+		return true, result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
 	}
-	return s.Suspects.Judge(time.Now(), o)
+	return true, nil
 }
 
 // flights holds the requests that the upstream runs.
--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -101,7 +101,8 @@
 func (k *Keys) view() booking.Message {
 	v := k.Fleet.View()
 	service, window := k.service(v)
-	return booking.ViewChanged{Members: booking.Members(v, service), Window: window}
+	members, out := booking.Members(v, service)
+	return booking.ViewChanged{Members: members, Out: out, Window: window}
 }
 
 func (k *Keys) service(v *fleet.View) (table.ServiceName, time.Duration) {
@@ -126,7 +127,8 @@
 func (k *Keys) Check(o *wire.Offer) error {
 	v := k.Fleet.View()
 	service, _ := k.service(v)
-	order := booking.Order(keyOf(o), booking.Members(v, service))
+	members, _ := booking.Members(v, service)
+	order := booking.Order(keyOf(o), members)
 	if len(order) == 0 || order[0].Name != k.Core.Self.Name {
 		return result.Errorf(result.NotHome, "upstream %q is not the home of the key", k.UpstreamName)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,11 +54,14 @@
 
 // Suspects knows requests that are suspected of ending upstreams.
 type Suspects interface {
-	// Judge says whether a request must run alone, or not at all.
-	Judge(now time.Time, o *wire.Offer) (solo bool, err error)
-	// Died tells of the requests in flight when an upstream ended.
-	Died(now time.Time, incarnation string, inFlight []*wire.Offer)
-	// Clean tells of a request that ran alone to its end.
+	// Judge says whether a request is suspected, or gives an error if it is
+	// held back.
+	Judge(now time.Time, o *wire.Offer) (suspected bool, err error)
+	// Place gives the one sidecar that may run a suspect.
+	Place(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
+	// Died tells of the requests in flight when an instance of an upstream ended.
+	Died(now time.Time, instance fleet.Incarnation, inFlight []*wire.Offer)
+	// Clean tells of a suspect that ran to its whole answer.
 	Clean(now time.Time, o *wire.Offer)
 }
 
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -34,6 +34,8 @@
 	answer *wire.StoredAnswer
 	key    booking.Ref
 	begun  bool
+	// suspected says that the request may have ended an upstream.
+	suspected bool
 	// forwarded is when the upstream was given the request.
 	forwarded  time.Time
 	firstToken bool
@@ -67,11 +69,12 @@
 	if err := a.check(); err != nil {
 		return err
 	}
-	solo, err := a.sidecar.suspicion(a.offer)
+	suspected, err := a.sidecar.suspicion(a.offer, a.class)
 	if err != nil {
 		return err
 	}
-	a.submit(solo)
+	a.suspected = suspected
+	a.submit()
 	granted, err := a.awaitGrant(ctx)
 	if err != nil || !granted {
 		return err
@@ -118,7 +121,7 @@
 // keyed holds where an idempotency key decides whether the request runs.
 func (a *attempt) keyed() bool { return a.offer.Key != "" && !a.class.Idempotent }
 
-func (a *attempt) submit(solo bool) {
+func (a *attempt) submit() {
 	weight := table.Weight(1)
 	if row, ok := a.sidecar.Fleet.View().Table.Accounts[table.AccountName(a.offer.Account)]; ok {
 		weight = row.Weight
@@ -130,7 +133,7 @@
 		Deadline: a.deadline,
 		Arrived:  time.Now().Add(-time.Duration(a.offer.WaitedUs) * time.Microsecond),
 		Cost:     table.Tokens(a.offer.CostTokens),
-		Solo:     solo,
+		Solo:     a.suspected,
 	})
 }
 
@@ -295,7 +298,7 @@
 
 // conclude tells gateway and records how the run ended.
 func (a *attempt) conclude(o engine.Outcome) error {
-	a.sidecar.noteOutcome(a.offer, o)
+	a.sidecar.noteOutcome(a.offer, o, a.suspected)
 	if a.answer != nil {
 		a.answer.Complete = o.Complete
 		a.sidecar.Keys.Finish(a.key, o, a.answer)
@@ -311,9 +314,18 @@
 		Code:      uint32(o.Code),
 		Detail:    o.Detail,
 		Tokens:    uint32(o.Tokens),
+		Death:     a.death(o),
 	}}})
 }
 
+// death names the death of the upstream that the run may have met.
+func (a *attempt) death(o engine.Outcome) string {
+	if !o.Died {
+		return ""
+	}
+	return string(a.sidecar.deathOf(a.sidecar.instance()))
+}
+
 // replay gives the recorded answer of a key.
 func (a *attempt) replay(answer *wire.StoredAnswer) error {
 	if err := a.sendHead(int(answer.Status), answer.Headers); err != nil {
