--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -238,3 +238,81 @@
 	assert.Equal(t, s.core.State().Limit, 8)
 	s.golden()
 }
+
+func TestLimitGrowsOnlyWhenUsed(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.note("one at a time: the first step is earned, the second is not")
+	for range 6 {
+		s.offer(notice, "ward", 1)
+		s.finish(1, clean(notice))
+	}
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.note("a missed target above the cold limit ends the ramp")
+	s.offer(notice, "ward", 6)
+	s.finish(2, clean(notice))
+	s.finish(3, Finished{Clean: true, TokenGap: 61 * time.Millisecond})
+	assert.DeepEqual(t, s.core.State(), State{Limit: 2, InFlight: 1})
+	s.finish(1, clean(notice))
+	s.note("one at a time does not widen a warm limit that was cut")
+	for range 6 {
+		s.offer(notice, "ward", 1)
+		s.finish(1, clean(notice))
+	}
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.golden()
+}
+
+func TestHigherLoadIsNoJump(t *testing.T) {
+	s := newSession(t, 8, 8)
+	s.warmQuietly(notice)
+	s.note("first tokens are usual at a load of one")
+	for range minSamples {
+		id := s.offer(notice, "ward", 1)
+		s.run()
+		s.send(FirstTokenCame{ID: id, After: 100 * time.Millisecond})
+		s.finish(1, clean(notice))
+	}
+	s.note("slow ones at a load of six to eight turn nothing cold")
+	s.offer(notice, "ward", 8)
+	s.run()
+	for _, id := range s.running()[5:] {
+		s.send(FirstTokenCame{ID: id, After: 900 * time.Millisecond})
+	}
+	assert.Assert(t, !s.core.State().Cold)
+	s.golden()
+}
+
+func TestTargetOutOfReach(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.warmQuietly(notice)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.note("a straggler: cuts to half the limit leave the gap as it was, so they are taken back")
+	s.offer(notice, "ward", 60)
+	s.finish(8, slow)
+	s.finish(6, slow)
+	s.finish(4, slow)
+	assert.Equal(t, s.core.State().Limit, 8)
+	s.note("more than half above that gap is still too much")
+	s.finish(5, Finished{Clean: true, Tokens: 50, TokenGap: 110 * time.Millisecond})
+	assert.Equal(t, s.core.State().Limit, 6)
+	s.note("once the gap falls, the target holds again, and cuts that help go on")
+	s.finish(6, Finished{Clean: true, Tokens: 50, TokenGap: 59 * time.Millisecond})
+	s.finish(1, Finished{Clean: true, Tokens: 50, TokenGap: 80 * time.Millisecond})
+	s.finish(10, Finished{Clean: true, Tokens: 50, TokenGap: 62 * time.Millisecond})
+	assert.Equal(t, s.core.State().Limit, 2)
+	s.golden()
+}
+
+func TestRampOutOfReach(t *testing.T) {
+	s := newSession(t, 4, 1)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.note("one alone misses the target: the ramp goes on while it gets no worse")
+	s.offer(notice, "ward", 12)
+	s.finish(4, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 3, InFlight: 3, Parked: 5, Cold: true})
+	s.note("twice the gap of one alone ends it")
+	slow.TokenGap *= 2
+	s.finish(2, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 2, InFlight: 2, Parked: 4})
+	s.golden()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +30,11 @@
 // Fleet is what the gateway needs of the fleet's view.
 type Fleet interface {
 	View() *fleet.View
-	Subscribe() (<-chan struct{}, func())
+	Changed() <-chan struct{}
 	Behind(r table.Revision, v fleet.ListVersion, from fleet.Address)
+	// Renew waits, after a pause of this process, until it has heard from
+	// somebody; it is cheap when there was none.
+	Renew(ctx context.Context) error
 }
 
 // Dialer gives connections to sidecars.
@@ -51,16 +53,15 @@
 
 // Suspects knows requests that are suspected of ending upstreams.
 type Suspects interface {
-	// Judge says whether a request must run alone, or gives an error if it is
+	// Judge says whether a request is suspected, or gives an error if it is
 	// held back.
-	Judge(now time.Time, o *wire.Offer) (solo bool, err error)
+	Judge(now time.Time, o *wire.Offer) (suspected bool, err error)
 	// Place gives the one sidecar that may run a suspect.
 	Place(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
-}
-
-// Homes gives the one sidecar that may run a request with an idempotency key.
-type Homes interface {
-	Home(o *wire.Offer, vms []fleet.VM) (fleet.VM, bool)
+	// Died tells of a request whose run met the death of an upstream.
+	Died(now time.Time, instance fleet.Incarnation, inFlight []*wire.Offer)
+	// Clean tells of a suspect that ran to its whole answer.
+	Clean(now time.Time, o *wire.Offer)
 }
 
 // Gateway is one run of the process. Its exported fields are set before Init.
@@ -70,7 +71,6 @@
 	Dialer    Dialer
 	Quota     Quota
 	Suspects  Suspects
-	Homes     Homes
 	Log       *event.Log
 	MaxBody   int64
 	MaxAnswer int64
@@ -78,7 +78,7 @@
 	MaxWaiting int
 	// RetryShare is how many retries a request earns.
 	RetryShare float64
-	// Subset is how many sidecars of a service the gateway speaks to.
+	// Subset is the least number of sidecars of a service that it speaks to.
 	Subset int
 	// Seed fixes choices between equals.
 	Seed uint64
@@ -88,7 +88,7 @@
 	budget   dispatch.Budget
 	metrics  metricSet
 	traces   traces
-	inFlight sync.WaitGroup
+	inFlight atomic.Int64
 	draining atomic.Bool
 	ids      requestIDs
 }
@@ -124,18 +124,8 @@
 // Drain makes readiness fail; the listener stays open for late arrivals.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// AwaitRequests returns when no request is in flight, or when ctx ends.
-func (g *Gateway) AwaitRequests(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
+// InFlight gives how many requests have no whole answer yet.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
 // Members gives the sidecars as this gateway sees them.
 func (g *Gateway) Members() []dispatch.Member { return g.pool.Members() }
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -8,7 +8,10 @@
 	"jasminewing.dev/jasminewing/internal/admission"
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 // followHealth asks the upstream for its health and tells the core of changes.
@@ -63,12 +66,15 @@
 	}
 	s.admitter.tellCore(admission.HealthChanged{Up: up, Restarted: restarted})
 	if restarted {
-		s.noteDeath(was.Instance)
+		s.noteDeath(was.Instance, s.flights.all())
 	}
 	s.logHealth(up, downAt, err)
 }
 
 func (s *Sidecar) logHealth(up bool, downAt time.Time, err error) {
+	if up && downAt.IsZero() {
+		return
+	}
 	if up {
 		s.Log.WriteThrottled(event.UpstreamBack, string(s.UpstreamName), "down_since", downAt.Format(time.RFC3339))
 		return
@@ -84,38 +90,63 @@
 }
 
 // noteOutcome learns from how a run ended.
-func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome) {
+func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome, suspected bool) {
 	switch {
 	case outcome.Died:
-		s.noteDeath(s.instance())
-	case outcome.Complete && s.Suspects != nil:
+		instance, inFlight := s.instance(), s.flights.all()
+		s.attempts.Go(func() { s.confirmDeath(instance, inFlight) })
+	case outcome.Complete && suspected:
 		s.Suspects.Clean(time.Now(), o)
 	}
 }
 
-// noteDeath makes all that is in flight suspect, once for each instance of the
-// upstream.
-func (s *Sidecar) noteDeath(instance string) {
-	inFlight := s.flights.died(instance)
-	if len(inFlight) == 0 || s.Suspects == nil {
+// confirmDeath asks a lost upstream for its health: one that merely cut a
+// connection is still the same instance.
+func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) {
+	h, err := s.askHealth(context.Background())
+	if err == nil && h.Instance == instance {
+		return
+	}
+	s.noteDeath(instance, inFlight)
+}
+
+// noteDeath makes all that was in flight suspect. It may be told of the same
+// death by each request that saw it: the instance names the death.
+func (s *Sidecar) noteDeath(instance string, inFlight []*wire.Offer) {
+	if len(inFlight) == 0 {
 		return
 	}
 	s.Log.WriteThrottled(event.RequestSuspect, string(s.UpstreamName), "in_flight", len(inFlight))
-	s.Suspects.Died(time.Now(), string(s.UpstreamName)+"/"+instance, inFlight)
+	s.Suspects.Died(time.Now(), s.deathOf(instance), inFlight)
 }
 
-func (s *Sidecar) suspicion(o *wire.Offer) (solo bool, err error) {
-	if s.Suspects == nil {
-		return false, nil
+// deathOf names the death of an instance of the upstream.
+func (s *Sidecar) deathOf(instance string) fleet.Incarnation {
+	return fleet.Incarnation(string(s.UpstreamName) + "/" + instance)
+}
+
+// suspicion says whether a request is suspected. A suspect has one place in
+// the fleet where it may run.
+func (s *Sidecar) suspicion(o *wire.Offer, c table.Class) (suspected bool, err error) {
+	suspected, err = s.Suspects.Judge(time.Now(), o)
+	if err != nil || !suspected {
+		return suspected, err
+	}
+	service := table.ServiceName(o.Model)
+	if c.Kind == table.Plain {
+		service = c.Service
 	}
-	return s.Suspects.Judge(time.Now(), o)
+	place, ok := s.Suspects.Place(o, s.Fleet.View().Serving(c.Kind, service))
+	if ok && place.Name != s.VM {
+		return true, result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
+	}
+	return true, nil
 }
 
 // flights holds the requests that the upstream runs.
 type flights struct {
 	mu     sync.Mutex
 	offers map[*wire.Offer]bool
-	dead   string
 }
 
 func (f *flights) begin(o *wire.Offer) {
@@ -133,15 +164,11 @@
 	delete(f.offers, o)
 }
 
-// died gives what was in flight at the first sign of an instance's death.
-func (f *flights) died(instance string) []*wire.Offer {
+// all gives what is in flight.
+func (f *flights) all() []*wire.Offer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.dead == instance {
-		return nil
-	}
-	f.dead = instance
-	var all []*wire.Offer
+	all := make([]*wire.Offer, 0, len(f.offers))
 	for o := range f.offers {
 		all = append(all, o)
 	}
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/booking"
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -31,7 +32,10 @@
 	body     []byte
 	// answer is what a key's record keeps; nil without a key.
 	answer *wire.StoredAnswer
+	key    booking.Ref
 	begun  bool
+	// suspected says that the request may have ended an upstream.
+	suspected bool
 	// forwarded is when the upstream was given the request.
 	forwarded  time.Time
 	firstToken bool
@@ -65,11 +69,12 @@
 	if err := a.check(); err != nil {
 		return err
 	}
-	solo, err := a.sidecar.suspicion(a.offer)
+	suspected, err := a.sidecar.suspicion(a.offer, a.class)
 	if err != nil {
 		return err
 	}
-	a.submit(solo)
+	a.suspected = suspected
+	a.submit()
 	granted, err := a.awaitGrant(ctx)
 	if err != nil || !granted {
 		return err
@@ -116,7 +121,7 @@
 // keyed holds where an idempotency key decides whether the request runs.
 func (a *attempt) keyed() bool { return a.offer.Key != "" && !a.class.Idempotent }
 
-func (a *attempt) submit(solo bool) {
+func (a *attempt) submit() {
 	weight := table.Weight(1)
 	if row, ok := a.sidecar.Fleet.View().Table.Accounts[table.AccountName(a.offer.Account)]; ok {
 		weight = row.Weight
@@ -128,7 +133,7 @@
 		Deadline: a.deadline,
 		Arrived:  time.Now().Add(-time.Duration(a.offer.WaitedUs) * time.Microsecond),
 		Cost:     table.Tokens(a.offer.CostTokens),
-		Solo:     solo,
+		Solo:     a.suspected,
 	})
 }
 
@@ -235,14 +240,19 @@
 		return result.Errorf(result.DeadlinePassed, "deadline passed before the request was forwarded")
 	}
 	if a.keyed() {
-		answer, err := a.sidecar.Keys.Begin(ctx, a.offer)
+		run, err := a.sidecar.Keys.Begin(ctx, a.offer)
 		if err != nil {
 			return err
 		}
-		if answer != nil {
-			return a.replay(answer)
+		if run.Answer != nil {
+			return a.replay(run.Answer)
 		}
+		a.key = run.Ref
 		a.answer = &wire.StoredAnswer{}
+		if !time.Now().Before(run.Before) {
+			a.sidecar.Keys.Finish(a.key, engine.Outcome{NotRun: true}, nil)
+			return result.Errorf(result.Paused, "the claim may no longer stand")
+		}
 	}
 	a.sidecar.flights.begin(a.offer)
 	defer a.sidecar.flights.end(a.offer)
@@ -288,14 +298,15 @@
 
 // conclude tells gateway and records how the run ended.
 func (a *attempt) conclude(o engine.Outcome) error {
-	a.sidecar.noteOutcome(a.offer, o)
+	a.sidecar.noteOutcome(a.offer, o, a.suspected)
 	if a.answer != nil {
 		a.answer.Complete = o.Complete
-		a.sidecar.Keys.Finish(a.offer, o, a.answer)
+		a.sidecar.Keys.Finish(a.key, o, a.answer)
 	}
 	if o.NotRun && !a.begun {
 		return result.Errorf(o.Code, "%s", o.Detail)
 	}
+	a.sidecar.metrics.end(o.Code)
 	return a.stream.Send(&wire.SidecarMessage{Kind: &wire.SidecarMessage_End{End: &wire.End{
 		RequestId: a.offer.RequestId,
 		Attempt:   a.offer.Attempt,
@@ -303,9 +314,18 @@
 		Code:      uint32(o.Code),
 		Detail:    o.Detail,
 		Tokens:    uint32(o.Tokens),
+		Death:     a.death(o),
 	}}})
 }
 
+// death names the death of the upstream that the run may have met.
+func (a *attempt) death(o engine.Outcome) string {
+	if !o.Died {
+		return ""
+	}
+	return string(a.sidecar.deathOf(a.sidecar.instance()))
+}
+
 // replay gives the recorded answer of a key.
 func (a *attempt) replay(answer *wire.StoredAnswer) error {
 	if err := a.sendHead(int(answer.Status), answer.Headers); err != nil {
@@ -321,9 +341,10 @@
 
 func (a *attempt) refuse(cause error) error {
 	code := result.CodeOf(cause)
+	a.sidecar.metrics.refusal(code)
 	r := &wire.Refused{
 		Code:         uint32(code),
-		Detail:       cause.Error(),
+		Detail:       result.DetailOf(cause),
 		NotRun:       code.Info().NotRun,
 		RetryAfterMs: uint64(result.RetryAfterOf(cause).Milliseconds()),
 	}
