Give the fake engine's whole answers their whole length

Cause: a job that ended whole was counted from the batch's progress, whose last bit is lost in a float; short answers seemed one token shorter, their mean gap larger than the target, and the sidecars cut their limits. Ruled out: a fault of the limiter: its figures were right for what it was told. Change: a whole answer has the job's own length.

--- a/internal/measure/door.go
+++ b/internal/measure/door.go
@@ -230,7 +230,10 @@
 
 // ended is the engine's end of a job.
 func (d *door) ended(a *attempt, e ending) {
-	given := d.engine.given(a.job)
+	given := a.job.tokens
+	if e != whole {
+		given = d.engine.given(a.job)
+	}
 	f := admission.Finished{ID: a.offer, Clean: e == whole, Tokens: given}
 	if given > 1 {
 		f.TokenGap = d.world.loop.now.Sub(a.first) / time.Duration(given-1)
