Wait at the cold limit while missed targets may come of the cold

Cause: since cuts stop where they do not help, the ramp took the gap of a cold engine for one that is out of reach and went on: an engine that had restarted got a third request at a cold limit of two before it was warm. Ruled out: the old rule (never on while the target is missed: an upstream whose target is out of reach stays at its cold limit for ever) and remembering the gap from before the cold (a fresh sidecar has none). Change: at the cold limit, eight clean ends for each slot may miss the target before the ramp goes on. The session TestRampOutOfReach now wants the wait as well: seven ends at limit one, then the same steps as before; it checks one state more than it did.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -21,6 +21,9 @@
 	// helpFactor is what halving the limit must make of the gap, or better, to
 	// be of use.
 	helpFactor = 0.85
+	// coldPatience is how many clean ends for each slot of the cold limit may
+	// miss the target before the target, not the cold, is blamed.
+	coldPatience = 8
 )
 
 // stamp tells under which limit a grant was given.
@@ -43,6 +46,8 @@
 	// most that ran at once in it.
 	clean int
 	peak  int
+	// slow counts clean ends at the cold limit that missed the target.
+	slow int
 	// unclean counts unclean ends in a row.
 	unclean int
 	// warm is the limit while warm; its fraction is growth under way.
@@ -89,7 +94,7 @@
 	l.ramp = l.coldLimit
 	l.warm = float64(l.ceiling)
 	l.cuts = cuts{}
-	l.unclean = 0
+	l.slow, l.unclean = 0, 0
 	l.now.epoch++
 	l.nextStep()
 }
@@ -144,6 +149,9 @@
 func (l *limiter) growCold(gap, target time.Duration) {
 	if l.ramp <= l.coldLimit {
 		l.setFloor(gap, target)
+		if l.stillCold(gap, target) {
+			return
+		}
 	}
 	if aim := l.aim(target); aim > 0 && gap > aim {
 		l.goWarm(l.ramp)
@@ -161,6 +169,16 @@
 	}
 }
 
+// stillCold says that a missed target at the cold limit shows an upstream that
+// is cold yet. One that goes on missing it is only slow.
+func (l *limiter) stillCold(gap, target time.Duration) bool {
+	if target <= 0 || gap <= target {
+		return false
+	}
+	l.slow++
+	return l.slow < coldPatience*l.coldLimit
+}
+
 // setFloor notes the gap at the cold limit, below which no cut goes.
 func (l *limiter) setFloor(gap, target time.Duration) {
 	switch {
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -306,8 +306,11 @@
 func TestRampOutOfReach(t *testing.T) {
 	s := newSession(t, 4, 1)
 	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
-	s.note("one alone misses the target: the ramp goes on while it gets no worse")
-	s.offer(notice, "ward", 12)
+	s.note("one alone misses the target: that may be the cold, for seven ends")
+	s.offer(notice, "ward", 19)
+	s.finish(7, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 1, InFlight: 1, Parked: 11, Cold: true})
+	s.note("then the ramp goes on while it gets no worse")
 	s.finish(4, slow)
 	assert.DeepEqual(t, s.core.State(), State{Limit: 3, InFlight: 3, Parked: 5, Cold: true})
 	s.note("twice the gap of one alone ends it")
