Keep one slot in five for a higher tier that offered lately

Cause: with every slot held by long answers of lower tiers, a short question of tier 1 waited for some answer's end and missed its first-token target. Ruled out: preemption (it discards tokens) and a fixed count of slots (wrong for small upstreams). Change: while a higher tier has offered within 10 s, lower tiers fill only the open slots, but for their turns; ramp and limit grow on the use of open slots. The choice looks at the turn first and at the reserve before it scans a tier, and an offer's bounds are worked out once. Conclusion: kept, one in five by default; ReserveShare below zero turns it off.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -12,8 +12,13 @@
 	DefaultMaxParked  = 1024
 	DefaultGrantLapse = 250 * time.Millisecond
 	DefaultFairSlack  = table.Tokens(512)
+	// DefaultReserveShare keeps one slot in five.
+	DefaultReserveShare = 5
 )
 
+// reserveWindow is how long a tier's offer keeps slots from lower tiers.
+const reserveWindow = 10 * time.Second
+
 // queueRetryAfter is told to offers that a full queue turned away.
 const queueRetryAfter = time.Second
 
@@ -30,6 +35,10 @@
 	// share of its tier, in estimated tokens. Within it the earliest due goes
 	// first.
 	FairSlack table.Tokens
+	// ReserveShare keeps one slot in so many free of lower tiers while a higher
+	// one has offered lately, so that it need not wait for a long answer's end.
+	// A negative one keeps none.
+	ReserveShare int
 
 	started       bool
 	down          bool
@@ -100,6 +109,10 @@
 	if c.FairSlack <= 0 {
 		c.FairSlack = DefaultFairSlack
 	}
+	if c.ReserveShare == 0 {
+		c.ReserveShare = DefaultReserveShare
+	}
+	c.limiter.reserveShare = c.ReserveShare
 	c.offers = map[OfferID]*offer{}
 	c.limiter.configure(c.Upstream)
 	c.limiter.turnCold()
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -35,8 +35,10 @@
 type limiter struct {
 	ceiling   int
 	coldLimit int
-	cold      bool
-	now       stamp
+	// reserveShare keeps one slot in so many for higher tiers; negative for none.
+	reserveShare int
+	cold         bool
+	now          stamp
 	// ramp is the limit while cold.
 	ramp int
 	// clean counts clean ends of what was granted at this step, peak is the
@@ -68,6 +70,15 @@
 	return int(l.warm)
 }
 
+// unreserved is how many of the limit's slots are open to every tier.
+func (l *limiter) unreserved() int {
+	limit := l.limit()
+	if l.reserveShare <= 0 {
+		return limit
+	}
+	return limit - limit/l.reserveShare
+}
+
 // configure takes the limits of the row. They are at least one.
 func (l *limiter) configure(u table.Upstream) {
 	ceiling := max(u.Limit, 1)
@@ -103,7 +114,7 @@
 func (l *limiter) ran(n int) { l.peak = max(l.peak, n) }
 
 // finished takes the end of a request. Target is the tightest between tokens of
-// what ran beside it, full that no slot was free. It says whether errors came
+// what ran beside it, full that no slot was open to every tier. It says whether errors came
 // in a burst, so that the upstream must turn cold.
 func (l *limiter) finished(s stamp, m Finished, target time.Duration, full bool) bool {
 	if s.epoch != l.now.epoch || m.Cancelled {
@@ -151,7 +162,7 @@
 		return
 	}
 	l.clean++
-	if l.clean < l.ramp || l.peak < l.ramp {
+	if l.clean < l.ramp || l.peak < l.unreserved() {
 		return
 	}
 	l.ramp = min(l.ramp+max(l.ramp/2, 1), l.ceiling)
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -33,7 +33,11 @@
 	class   *share
 	account *share
 	lapses  time.Time
-	stamp   stamp
+	// overdueAt is when the offer's wait passes its class's bound.
+	overdueAt time.Time
+	// others is how many grants of N go elsewhere between two turns.
+	others int
+	stamp  stamp
 	// load is how many were in flight when the body came.
 	load       int
 	firstToken bool
@@ -47,23 +51,21 @@
 	return o.Arrived.Add(o.Class.FirstToken)
 }
 
-// overdue says that the offer waited past its class's bound.
-func (o *offer) overdue(now time.Time) bool {
-	bound := o.Class.MaxWait
-	if bound <= 0 {
-		bound = defaultMaxWait
+// bound takes from the class how long the offer may wait without a turn.
+func (o *offer) bound() {
+	wait, share := o.Class.MaxWait, o.Class.StarvationShare
+	if wait <= 0 {
+		wait = defaultMaxWait
 	}
-	return now.Sub(o.Arrived) > bound
-}
-
-// starvationShare is the N of one grant in N.
-func (o *offer) starvationShare() int {
-	if o.Class.StarvationShare <= 0 {
-		return defaultStarvationShare
+	if share <= 0 {
+		share = defaultStarvationShare
 	}
-	return max(o.Class.StarvationShare, minStarvationShare)
+	o.overdueAt = o.Arrived.Add(wait)
+	o.others = max(share, minStarvationShare) - 1
 }
 
+func (o *offer) overdue(now time.Time) bool { return now.After(o.overdueAt) }
+
 func (o *offer) expired(now time.Time) bool {
 	return !o.Deadline.IsZero() && !now.Before(o.Deadline)
 }
@@ -93,9 +95,10 @@
 		c.refuse(m.ID, result.DeadlinePassed, 0)
 		return
 	}
+	o.bound()
 	o.cost = c.estimates.guess(o.Class, o.Account, o.Cost)
 	c.offers[m.ID] = o
-	c.queue.add(o)
+	c.queue.add(now, o)
 	c.arrived = o
 	c.expireBy(o.Deadline)
 }
@@ -190,7 +193,7 @@
 		c.estimates.learn(o.Class.Name, o.Account, m.Tokens)
 	}
 	fresh := o.stamp.epoch == c.limiter.now.epoch
-	full := len(c.inFlight) >= c.limiter.limit()
+	full := len(c.inFlight) >= c.limiter.unreserved()
 	turned := c.limiter.finished(o.stamp, m, c.tightestGap(), full)
 	if turned {
 		c.turnCold()
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -260,3 +260,37 @@
 	s.finish(1, clean(booth))
 	s.golden()
 }
+
+func TestKeepsSlotsForHigherTiers(t *testing.T) {
+	s := newSession(t, 8, 8)
+	s.warmQuietly(notice)
+	s.note("no higher tier came lately: tier 3 may take all")
+	s.wait(reserveWindow)
+	s.offer(summary, "ward", 8)
+	s.finish(8, clean(summary))
+	s.note("tier 1 comes, and one slot of eight is kept for it")
+	s.offer(booth, "vendor", 1)
+	s.finish(1, clean(booth))
+	s.offer(summary, "ward", 8)
+	assert.Equal(t, s.core.State().InFlight, 7)
+	s.offer(booth, "vendor", 1)
+	assert.Equal(t, s.core.State().InFlight, 8)
+	s.note("with no more of it the slot is open again")
+	s.run()
+	s.wait(reserveWindow)
+	s.finish(1, clean(summary))
+	assert.Equal(t, s.core.State().InFlight, 8)
+	s.golden()
+}
+
+func TestRampGrowsBesideKeptSlots(t *testing.T) {
+	s := newSession(t, 20, 5)
+	s.offer(booth, "vendor", 1)
+	s.finish(1, clean(booth))
+	s.note("tier 3 fills four of the five cold slots; four clean ends more make a step")
+	s.offer(summary, "ward", 9)
+	assert.Equal(t, s.core.State().InFlight, 4)
+	s.finish(4, clean(summary))
+	assert.Equal(t, s.core.State().Limit, 7)
+	s.golden()
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,6 +26,8 @@
 	// tokensSince is what those grants were charged.
 	tokensSince float64
 	scratch     []*offer
+	// lastOffer is when an offer of this tier last came.
+	lastOffer time.Time
 }
 
 // choice is the offer that goes next.
@@ -45,8 +47,9 @@
 	return q.tiers[i]
 }
 
-func (q *queue) add(o *offer) {
+func (q *queue) add(now time.Time, o *offer) {
 	t := q.tier(o.Class.Tier)
+	t.lastOffer = now
 	o.class = t.classes.hold(string(o.Class.Name), int(o.Class.Weight))
 	o.account = o.class.accounts.hold(string(o.Account), int(o.Weight))
 	t.offers = append(t.offers, o)
@@ -63,6 +66,16 @@
 	q.parked--
 }
 
+// higherSince says that a higher tier than t has offered since then.
+func (q *queue) higherSince(t table.Tier, then time.Time) bool {
+	for _, h := range q.tiers {
+		if h.tier < t && h.lastOffer.After(then) {
+			return true
+		}
+	}
+	return false
+}
+
 // victim is the offer that leaves a full queue when o comes in: the newest of
 // the lowest tier that holds any, which is o itself when it is of that tier.
 func (q *queue) victim(o *offer) *offer {
@@ -88,19 +101,24 @@
 	return newest
 }
 
-// next chooses the offer that goes next; its offer is nil when none is parked.
-func (q *queue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) choice {
+// turn chooses the first tier's turn that is earned; its offer is nil for none.
+func (q *queue) turn(now time.Time, slack float64) choice {
 	for _, t := range q.tiers {
 		if o := t.turn(now, slack); o != nil {
 			return choice{offer: o, turn: true}
 		}
 	}
+	return choice{}
+}
+
+// highest is the highest tier that waits; nil for none.
+func (q *queue) highest() *tierQueue {
 	for _, t := range q.tiers {
 		if len(t.offers) > 0 {
-			return choice{offer: t.next(now, slack, expect)}
+			return t
 		}
 	}
-	return choice{}
+	return nil
 }
 
 // turn gives the overdue offer that this tier may now grant out of order.
@@ -110,7 +128,7 @@
 	}
 	t.scratch = t.scratch[:0]
 	for _, o := range t.offers {
-		if o.overdue(now) && t.earned(o) {
+		if t.earned(o) && o.overdue(now) {
 			t.scratch = append(t.scratch, o)
 		}
 	}
@@ -130,8 +148,7 @@
 // earned says that enough went to others for o to have its tier's turn: one in N
 // of the grants, and of the tokens too, so that a long answer waits longer.
 func (t *tierQueue) earned(o *offer) bool {
-	others := o.starvationShare() - 1
-	return t.sinceTurn >= others && t.tokensSince >= float64(others)*o.cost
+	return t.sinceTurn >= o.others && t.tokensSince >= float64(o.others)*o.cost
 }
 
 // next gives the offer of this tier that goes first: of those within their fair
--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 // schedule grants while a slot is free.
 func (c *Core) schedule(now time.Time) {
 	for c.free() {
-		ch := c.queue.next(now, float64(c.FairSlack), c.timings.expect)
+		ch := c.next(now)
 		if ch.offer == nil {
 			return
 		}
@@ -32,6 +33,28 @@
 	return len(c.inFlight) < c.limiter.limit()
 }
 
+// next chooses the offer that goes next; its offer is nil when none may. A
+// tier's turn takes a slot kept for higher tiers all the same, or it might starve.
+func (c *Core) next(now time.Time) choice {
+	slack := float64(c.FairSlack)
+	if ch := c.queue.turn(now, slack); ch.offer != nil {
+		return ch
+	}
+	t := c.queue.highest()
+	if t == nil || c.kept(now, t.tier) {
+		return choice{}
+	}
+	return choice{offer: t.next(now, slack, c.timings.expect)}
+}
+
+// kept says that the slots left are kept for a higher tier that was here lately.
+func (c *Core) kept(now time.Time, t table.Tier) bool {
+	if len(c.inFlight) < c.limiter.unreserved() {
+		return false
+	}
+	return c.queue.higherSince(t, now.Add(-reserveWindow))
+}
+
 func (c *Core) grant(now time.Time, ch choice) {
 	o := ch.offer
 	c.queue.took(ch)
