Forget a row of cuts when the row's limit is edited; test turns in kept slots

Change: an edited limit starts the judgement of cuts anew, which makes the bound needless; a session for each of the two.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -86,6 +86,9 @@
 	if !l.cold && l.warm >= float64(l.ceiling) {
 		l.warm = float64(ceiling)
 	}
+	if ceiling != l.ceiling {
+		l.cuts = cuts{}
+	}
 	l.warm = min(l.warm, float64(ceiling))
 	l.ramp = min(l.ramp, ceiling)
 	if l.cold && coldLimit != l.coldLimit {
@@ -223,7 +226,7 @@
 	}
 	halved := l.warm <= max(l.cuts.from/2, 1)
 	if halved && float64(gap) > helpFactor*float64(l.cuts.worst) {
-		l.warm = min(l.cuts.from, float64(l.ceiling))
+		l.warm = l.cuts.from
 		l.cuts = cuts{floor: gap}
 		l.nextStep()
 		return
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -283,6 +283,21 @@
 	s.golden()
 }
 
+func TestTurnTakesKeptSlot(t *testing.T) {
+	s := newSession(t, 8, 8)
+	s.warmQuietly(brief)
+	s.offer(booth, "vendor", 1)
+	s.finish(1, clean(booth))
+	s.offer(brief, "ward", 8)
+	s.run()
+	assert.Equal(t, s.core.State().InFlight, 7)
+	s.note("tier 3 waited past its bound, so its turn comes in the slot that is kept")
+	s.wait(6 * time.Second)
+	s.send(Ticked{})
+	assert.Equal(t, s.core.State().InFlight, 8)
+	s.golden()
+}
+
 func TestRampGrowsBesideKeptSlots(t *testing.T) {
 	s := newSession(t, 20, 5)
 	s.offer(booth, "vendor", 1)
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -303,6 +303,22 @@
 	s.golden()
 }
 
+func TestEditedLimitForgetsCuts(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.warmQuietly(notice)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.offer(notice, "ward", 40)
+	s.finish(1, slow)
+	assert.Equal(t, s.core.State().Limit, 6)
+	s.note("cuts from eight are not taken back under a row of three")
+	row := s.core.Upstream
+	row.Limit = 3
+	s.send(Configured{Upstream: row})
+	s.finish(14, slow)
+	assert.Equal(t, s.core.State().Limit, 3)
+	s.golden()
+}
+
 func TestRampOutOfReach(t *testing.T) {
 	s := newSession(t, 4, 1)
 	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
