Count a tier's turn over the grants of other tiers alone

Change: a grant counts towards the turns of other tiers, not of its own. The price: offers that are late already wait for an hour of ease, or their deadline, while newer ones of their own tier can be in time.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -182,14 +182,17 @@
 	return o.class.eligible(slack) && o.account.eligible(slack)
 }
 
-// took counts a grant against every tier's next turn.
+// took counts a grant towards the next turn of every other tier. What a tier is
+// granted in the usual order needs no turn.
 func (q *queue) took(ch choice) {
+	own := q.tier(ch.offer.Class.Tier)
 	for _, t := range q.tiers {
-		t.sinceTurn++
-		t.tokensSince += ch.offer.cost
+		if t != own {
+			t.sinceTurn++
+			t.tokensSince += ch.offer.cost
+		}
 	}
 	if ch.turn {
-		t := q.tier(ch.offer.Class.Tier)
-		t.sinceTurn, t.tokensSince = 0, 0
+		own.sinceTurn, own.tokensSince = 0, 0
 	}
 }
