Grant last what its deadline would likely cut off

Cause: late offers go oldest first, so under a burst the one granted was always the one nearest its deadline: it began, and was cut off. Change: an offer whose deadline is nearer than three times the usual time of its answer goes after all others of its tier and has no turn. Without the margin TestGrantsInVainComeLast is red.

--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -13,6 +13,8 @@
 	defaultMaxWait         = 30 * time.Second
 	defaultStarvationShare = 10
 	minStarvationShare     = 2
+	// tailFactor is how many times its estimate an answer may well be long.
+	tailFactor = 3
 )
 
 type phase int
@@ -70,6 +72,13 @@
 	return !o.Deadline.IsZero() && !now.Before(o.Deadline)
 }
 
+// inVain says that its deadline would likely cut its answer off: lengths vary,
+// and many are some times what is expected.
+func (o *offer) inVain(now time.Time, times *timings) bool {
+	lasts := tailFactor * times.lasts(o.Class.Name, o.cost)
+	return !o.Deadline.IsZero() && now.Add(lasts).After(o.Deadline)
+}
+
 // older orders offers by the caller's arrival.
 func (o *offer) older(p *offer) bool {
 	if !o.Arrived.Equal(p.Arrived) {
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -310,3 +310,26 @@
 	assert.Equal(t, s.core.State().Limit, 7)
 	s.golden()
 }
+
+// An offer whose deadline would likely cut its answer off goes after all others.
+func TestGrantsInVainComeLast(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.warmQuietly(notice)
+	s.offer(notice, "ward", 9)
+	s.finish(8, clean(notice))
+	offer := func(deadline time.Duration) OfferID {
+		s.next++
+		s.send(Offered{ID: s.next, Account: "ward", Class: notice, Arrived: s.now, Deadline: s.now.Add(deadline)})
+		return s.next
+	}
+	s.note("an answer takes 0.75 s; of two that are late the older has 2 s left")
+	soon := offer(12 * time.Second)
+	later := offer(time.Minute)
+	s.wait(10 * time.Second)
+	s.finish(1, clean(notice))
+	assert.DeepEqual(t, s.running(), []OfferID{later})
+	s.note("with nothing else to do it is tried all the same")
+	s.finish(1, clean(notice))
+	assert.DeepEqual(t, s.running(), []OfferID{soon})
+	s.golden()
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -102,9 +102,9 @@
 }
 
 // turn chooses the first tier's turn that is earned; its offer is nil for none.
-func (q *queue) turn(now time.Time, slack float64) choice {
+func (q *queue) turn(now time.Time, slack float64, times *timings) choice {
 	for _, t := range q.tiers {
-		if o := t.turn(now, slack); o != nil {
+		if o := t.turn(now, slack, times); o != nil {
 			return choice{offer: o, turn: true}
 		}
 	}
@@ -121,14 +121,15 @@
 	return nil
 }
 
-// turn gives the overdue offer that this tier may now grant out of order.
-func (t *tierQueue) turn(now time.Time, slack float64) *offer {
+// turn gives the overdue offer that this tier may now grant out of order. One
+// that would not end by its deadline has none.
+func (t *tierQueue) turn(now time.Time, slack float64, times *timings) *offer {
 	if t.sinceTurn < minStarvationShare-1 {
 		return nil
 	}
 	t.scratch = t.scratch[:0]
 	for _, o := range t.offers {
-		if t.earned(o) && o.overdue(now) {
+		if t.earned(o) && o.overdue(now) && !o.inVain(now, times) {
 			t.scratch = append(t.scratch, o)
 		}
 	}
@@ -152,29 +153,29 @@
 }
 
 // next gives the offer of this tier that goes first: of those within their fair
-// part, the earliest due that can still be in time, else the oldest.
-func (t *tierQueue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) *offer {
+// part, the earliest due that can still be in time, else the oldest that can
+// still end by its deadline, else the oldest.
+func (t *tierQueue) next(now time.Time, slack float64, times *timings) *offer {
 	measure(&t.classes, t.offers)
-	var timely, late *offer
+	var timely, late, vain *offer
 	for _, o := range t.offers {
 		if !o.fair(slack) {
 			continue
 		}
-		due := o.due()
-		if due.Before(now.Add(expect(o.Class.Name))) {
-			if late == nil || o.older(late) {
-				late = o
+		switch due := o.due(); {
+		case !due.Before(now.Add(times.expect(o.Class.Name))):
+			if timely == nil || due.Before(timely.due()) {
+				timely = o
 			}
-			continue
-		}
-		if timely == nil || due.Before(timely.due()) {
-			timely = o
+		case o.inVain(now, times):
+			if vain == nil || o.older(vain) {
+				vain = o
+			}
+		case late == nil || o.older(late):
+			late = o
 		}
 	}
-	if timely != nil {
-		return timely
-	}
-	return late
+	return cmp.Or(timely, late, vain)
 }
 
 // fair says that neither class nor account is too far ahead.
--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -37,14 +37,14 @@
 // tier's turn takes a slot kept for higher tiers all the same, or it might starve.
 func (c *Core) next(now time.Time) choice {
 	slack := float64(c.FairSlack)
-	if ch := c.queue.turn(now, slack); ch.offer != nil {
+	if ch := c.queue.turn(now, slack, &c.timings); ch.offer != nil {
 		return ch
 	}
 	t := c.queue.highest()
 	if t == nil || c.kept(now, t.tier) {
 		return choice{}
 	}
-	return choice{offer: t.next(now, slack, c.timings.expect)}
+	return choice{offer: t.next(now, slack, &c.timings)}
 }
 
 // kept says that the slots left are kept for a higher tier that was here lately.
--- a/internal/admission/timings.go
+++ b/internal/admission/timings.go
@@ -73,6 +73,16 @@
 	return time.Duration(k.first.time)
 }
 
+// lasts is how long an answer of so many tokens usually takes; zero while it is
+// not known.
+func (t *timings) lasts(class table.ClassName, tokens float64) time.Duration {
+	k := t.classes[class]
+	if k == nil || k.gap.samples < minSamples {
+		return 0
+	}
+	return t.expect(class) + time.Duration(k.gap.time*tokens)
+}
+
 func (t *timings) class(name table.ClassName) *classTimings {
 	if k := t.classes[name]; k != nil {
 		return k
