Hold rows of passes against the bound in tokens as well

Cause: the check wanted a turn after N+1 grants, but a turn must be earned in tokens too, so it cried out for every row of short answers. Ruled out: the sidecar's own estimates as the bound (the check would believe what it checks): a class's max_tokens is the most that they can be. Change: a row's part of its bound is the lesser of its parts by grants and by tokens; the page still shows the longest row in grants.

--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -45,6 +45,8 @@
 	// Passed is the longest row of grants at one sidecar that went to higher tiers
 	// while a call of the lowest tier was past its MaxWait.
 	Passed int
+	// PassedPart is the most that such a row came to of its bound.
+	PassedPart float64
 	// ColdOverloads counts requests that a cold engine was given above its cold
 	// limit, Falls how often it fell over for them.
 	ColdOverloads, Falls int
@@ -108,6 +110,7 @@
 
 func (s *Score) engine(d *door) {
 	s.Passed = max(s.Passed, d.passes.longest)
+	s.PassedPart = max(s.PassedPart, d.passes.most)
 	s.ColdOverloads += d.engine.overloaded
 	s.Falls += d.engine.falls
 	if d.engine.row.Kind == table.Engine {
