--- a/cmd/jasminewing/slopes_test.go
+++ b/cmd/jasminewing/slopes_test.go
@@ -39,24 +39,26 @@
 	resident float64
 }
 
-// used reads a process's own metrics.
+// used reads what a process says that it has used.
 func (p *proc) used() usage {
+	return usage{cpu: p.metric("process_cpu_seconds_total"), resident: p.metric("process_resident_memory_bytes")}
+}
+
+// metric reads one of a process's own metrics.
+func (p *proc) metric(name string) float64 {
 	resp, err := http.Get("http://" + p.admin + "/metrics")
 	assert.NilError(p.t, err)
 	defer resp.Body.Close()
-	var u usage
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
-		name, text, _ := strings.Cut(lines.Text(), " ")
-		value, _ := strconv.ParseFloat(text, 64)
-		switch name {
-		case "process_cpu_seconds_total":
-			u.cpu = value
-		case "process_resident_memory_bytes":
-			u.resident = value
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			value, err := strconv.ParseFloat(text, 64)
+			assert.NilError(p.t, err)
+			return value
 		}
 	}
-	return u
+	p.t.Fatalf("no metric %s", name)
+	return 0
 }
 
 // watch gives the share of a core that the process takes, in percent, and its
