Search all orders of two faults, and of three crashes

Ruled out: a step of its own for each process that learns a view: learning commutes with all that other processes do, so it is merged into the next step that the process takes part in.

--- a/internal/booking/golden_test.go
+++ b/internal/booking/golden_test.go
@@ -258,15 +258,15 @@
 		w.drain(i)
 		flush()
 		for n := range w.nodes {
-			w.learnView(n)
+			w.learn(n, len(w.views)-1)
 		}
 		w.show(w.views[0])
 		w.start(i, modelNow, DefaultWitnesses)
 		for n := range w.nodes {
-			w.learnView(n)
+			w.learn(n, len(w.views)-1)
 		}
 		w.nodes[i].draining = false
-		w.send(len(w.views) - 1)
+		w.send(0)
 		flush()
 		assert.Equal(t, len(w.pending), 0, "after %s", w.nodes[i].vm.Name)
 		assert.Equal(t, w.answers, i+1)
--- a/internal/booking/model_test.go
+++ b/internal/booking/model_test.go
@@ -76,7 +76,6 @@
 type world struct {
 	key     Key
 	nodes   []node
-	gates   [2]int
 	views   []uint
 	packets []packet
 	pending []pendingRun
@@ -90,7 +89,6 @@
 	refs     Ref
 	// broken says which promise does not hold; empty for none.
 	broken string
-	depth  int
 }
 
 type modelOptions struct {
@@ -99,6 +97,8 @@
 	// "d" are in another data centre than the rest.
 	order string
 	kinds []string
+	// depth bounds the steps of an order of events; zero for no bound.
+	depth int
 	// maxStates bounds the search; reaching it fails the test.
 	maxStates int
 }
@@ -181,7 +181,6 @@
 	v.packets = slices.Clone(w.packets)
 	v.pending = slices.Clone(w.pending)
 	v.faults = slices.Clone(w.faults)
-	v.depth++
 	return &v
 }
 
@@ -307,16 +306,13 @@
 
 // fingerprint names the state; two worlds with one name behave alike.
 func (w *world) fingerprint() uint64 {
-	last := w.views[len(w.views)-1]
 	b := make([]byte, 0, 512)
-	for _, v := range [...]int{
-		int(w.views[w.gates[0]]), int(w.views[w.gates[1]]),
-		int(last), w.sends, w.refusals, w.runs, int(w.out),
-	} {
+	b = append(b, byte(w.sends), byte(w.refusals), byte(w.runs), byte(w.out))
+	for _, v := range w.views {
 		b = append(b, byte(v), byte(v>>8))
 	}
 	for _, n := range w.nodes {
-		b = append(b, '|', byte(n.incarnation), byte(w.views[n.view]), byte(w.views[n.view]>>8), bit(n.up)|bit(n.draining)<<1)
+		b = append(b, '|', byte(n.incarnation), byte(n.view), bit(n.up)|bit(n.draining)<<1)
 		if n.up {
 			b = n.core.appendState(b, w.key)
 		}
--- a/internal/booking/steps_test.go
+++ b/internal/booking/steps_test.go
@@ -3,13 +3,18 @@
 import (
 	"math/bits"
 	"slices"
-	"strings"
 
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
-// step is one thing that may happen next; fault is empty for ordinary ones.
+// nobody is the node of a step that no core hears of.
+const nobody = -1
+
+// step is one thing that may happen next. Fault is empty for ordinary ones.
 type step struct {
+	// node is whose core hears of it. Just before, it may learn newer views:
+	// that a node learns one earlier makes no difference to anybody.
+	node  int
 	fault string
 	do    func(w *world)
 }
@@ -31,21 +36,22 @@
 	if w.sends == 0 {
 		return out
 	}
-	for g, view := range w.gates {
-		if g == 1 && w.views[view] == w.views[w.gates[0]] {
-			break
+	tried := make(map[int]bool)
+	for _, view := range w.views {
+		home := w.index(Order(w.key, w.members(view))[0].Name)
+		if !tried[home] {
+			tried[home] = true
+			out = append(out, step{home, "", func(w *world) { w.send(home) }})
 		}
-		out = append(out, step{do: func(w *world) { w.send(view) }})
 	}
 	return out
 }
 
 // send is the caller's first request or a repeat, through a gateway that
-// holds the given view.
-func (w *world) send(view int) {
+// holds any view, however old.
+func (w *world) send(home int) {
 	w.sends--
 	w.refs++
-	home := w.index(Order(w.key, w.members(w.views[view]))[0].Name)
 	if w.nodes[home].up {
 		w.handle(home, Begin{Ref: w.refs, Key: w.key, BodyHash: modelHash})
 	}
@@ -54,18 +60,18 @@
 func (w *world) packetSteps(out []step, o modelOptions) []step {
 	lose := [...]string{ask: "lose_ask", reply: "lose_reply", telling: "lose_tell"}
 	for p, k := range w.packets {
-		out = append(out, step{do: func(w *world) { w.deliver(p) }})
+		out = append(out, step{k.to, "", func(w *world) { w.deliver(p) }})
 		if len(w.faults) >= o.faults {
 			continue
 		}
 		if slices.Contains(o.kinds, "lose") {
-			out = append(out, step{lose[k.kind], func(w *world) {
+			out = append(out, step{asker(k), lose[k.kind], func(w *world) {
 				w.packets = slices.Delete(w.packets, p, p+1)
 				w.fail(k)
 			}})
 		}
 		if k.kind == ask && !k.orphan && slices.Contains(o.kinds, "late") {
-			out = append(out, step{"late_ask", func(w *world) {
+			out = append(out, step{asker(k), "late_ask", func(w *world) {
 				w.packets[p].orphan = true
 				w.fail(k)
 			}})
@@ -79,12 +85,12 @@
 func (w *world) runSteps(out []step) []step {
 	for i, p := range w.pending {
 		if p.state == forwarded {
-			out = append(out, step{do: func(w *world) { w.end(i, false) }})
+			out = append(out, step{p.node, "", func(w *world) { w.end(i, false) }})
 			continue
 		}
-		out = append(out, step{do: func(w *world) { w.forward(i) }})
+		out = append(out, step{nobody, "", func(w *world) { w.forward(i) }})
 		if w.refusals > 0 {
-			out = append(out, step{do: func(w *world) { w.refusals--; w.end(i, true) }})
+			out = append(out, step{p.node, "", func(w *world) { w.refusals--; w.end(i, true) }})
 		}
 	}
 	return out
@@ -112,34 +118,34 @@
 	w.handle(p.node, m)
 }
 
-// viewSteps lets a process learn the newest view, restarts what crashed,
-// brings back what is out and ends what has drained.
+// asker is who waits for the packet or its reply.
+func asker(k packet) int {
+	if k.kind == reply {
+		return k.to
+	}
+	return k.from
+}
+
+// viewSteps restarts what crashed or drops it from the list, brings back what
+// is out and ends what has drained.
 func (w *world) viewSteps(out []step, o modelOptions) []step {
 	last := len(w.views) - 1
-	for g := range w.gates {
-		if w.views[w.gates[g]] != w.views[last] {
-			out = append(out, step{do: func(w *world) { w.gates[g] = last }})
-		}
-	}
 	for i, n := range w.nodes {
 		if n.core == nil {
 			continue
 		}
-		if n.up && w.views[n.view] != w.views[last] {
-			out = append(out, step{do: func(w *world) { w.learnView(i) }})
-		}
 		if n.draining && n.up && w.idle(i) {
-			out = append(out, step{do: func(w *world) { w.nodes[i].up = false }})
+			out = append(out, step{nobody, "", func(w *world) { w.nodes[i].up = false }})
 		}
 		if !n.up && w.views[last]&(1<<i) != 0 && !n.draining {
-			out = append(out, step{do: func(w *world) { w.start(i, modelNow, o.witnesses) }})
+			out = append(out, step{nobody, "", func(w *world) { w.start(i, modelNow, o.witnesses) }})
 			if membersOf(w.views[last]) > 1 {
-				out = append(out, step{do: func(w *world) { w.show(w.views[last] &^ (1 << i)) }})
+				out = append(out, step{nobody, "", func(w *world) { w.show(w.views[last] &^ (1 << i)) }})
 			}
 		}
 	}
 	if w.out != 0 {
-		out = append(out, step{do: func(w *world) {
+		out = append(out, step{nobody, "", func(w *world) {
 			w.show(w.views[last]&^(w.out<<outShift) | w.out)
 			w.out = 0
 		}})
@@ -147,10 +153,29 @@
 	return out
 }
 
-func (w *world) learnView(i int) {
-	n := &w.nodes[i]
-	n.view = len(w.views) - 1
-	w.handle(i, w.viewChanged(n.view))
+// learners gives the world as it is, and each way in which node i may have
+// learnt newer views: only the last of some, or each in turn.
+func (w *world) learners(i int) []*world {
+	out := []*world{w}
+	if i == nobody || !w.nodes[i].up {
+		return out
+	}
+	direct, inTurn := w, w
+	for view := w.nodes[i].view + 1; view < len(w.views); view++ {
+		direct, inTurn = w.clone(), inTurn.clone()
+		direct.learn(i, view)
+		inTurn.learn(i, view)
+		out = append(out, direct)
+		if view > w.nodes[i].view+1 {
+			out = append(out, inTurn)
+		}
+	}
+	return out
+}
+
+func (w *world) learn(i, view int) {
+	w.nodes[i].view = view
+	w.handle(i, w.viewChanged(view))
 }
 
 func membersOf(view uint) int { return bits.OnesCount(view & (1<<outShift - 1)) }
@@ -191,7 +216,7 @@
 	for i, n := range w.nodes {
 		if n.core == nil {
 			if has("join") {
-				out = append(out, step{"join", func(w *world) { w.join(i, o) }})
+				out = append(out, step{nobody, "join", func(w *world) { w.join(i, o) }})
 			}
 			continue
 		}
@@ -199,16 +224,16 @@
 			continue
 		}
 		if has("crash") {
-			out = append(out, step{"crash_" + w.role(i), func(w *world) { w.crash(i) }})
+			out = append(out, step{nobody, "crash_" + w.role(i), func(w *world) { w.crash(i) }})
 		}
 		if has("drain") && !n.draining && membersOf(last) > 1 && last&(1<<i) != 0 {
-			out = append(out, step{"drain_" + w.role(i), func(w *world) { w.drain(i) }})
+			out = append(out, step{i, "drain_" + w.role(i), func(w *world) { w.drain(i) }})
 		}
 	}
 	if has("out") && w.out == 0 {
 		for _, dc := range [...]string{"dc1", "dc2"} {
 			if gone := w.inside(dc) & last; gone != 0 && membersOf(last&^gone) > 0 {
-				out = append(out, step{"out_" + strings.ToLower(dc), func(w *world) {
+				out = append(out, step{nobody, "out_" + dc, func(w *world) {
 					w.out = gone
 					w.show(last&^gone | gone<<outShift)
 				}})
