Test the fleet core by sessions, faults and a budget of calls

Cause: what must hold of the table under races, stale copies, outages and pauses stood without a test. Ruled out: reading by every process whose confirmation is old at one bound; a region that lost its readers then waited longest, so standbys come first. Change: golden sessions, all orders of six answers, a task test in virtual time, a worst case of calls; standbys of the readers.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -26,6 +26,8 @@
 	watchWait = time.Second
 	// ageBound is the confirmed age at which a process reads for itself.
 	ageBound = 6 * time.Second
+	// standbyBound is the same for a standby of the readers.
+	standbyBound = 3500 * time.Millisecond
 	// startGrace is how long a new process with peers leaves reading to them.
 	startGrace = 2 * time.Second
 	// refuseDelay keeps quiet about a table of which one of two values has
@@ -112,6 +114,7 @@
 	// New processes spread their first calls over the refill of one token.
 	c.reader.tokens = c.random.Float64()
 	c.reader.filledAt = now
+	c.reader.place = -1
 	c.view = &View{}
 }
 
--- /dev/null
+++ b/internal/fleet/core_test.go
@@ -0,0 +1,304 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	peer2 Address = "10.0.0.2:7000"
+	peer3 Address = "10.0.0.3:7000"
+	peer4 Address = "10.0.0.4:7000"
+)
+
+// A data centre is taken out and back in within a second; the values come by
+// peer and by service, late and crossed. What is in force never goes back.
+func TestOperatorRace(t *testing.T) {
+	s := started()
+	s.note("a rumour of revision 12")
+	s.in(SyncAsked{&wire.SyncRequest{From: string(peer2), Have: []*wire.ValueRevision{{Name: ""}, {Name: "data_centres", Revision: 12}}}})
+	s.note("the service names 11, which is read")
+	s.watched(11, ValueRevision{"data_centres", 11})
+	s.got("data_centres", 11, "vatva out")
+	s.note("the peer brings 12")
+	s.pulled(peer2, 100, wireValue("data_centres", 12, "vatva in again"))
+	s.note("another peer has only 11")
+	s.pulled(peer3, 100, wireValue("data_centres", 11, "vatva out"))
+	s.note("the service ends its wait with 12")
+	s.watched(12, ValueRevision{"data_centres", 12})
+	s.golden(t)
+}
+
+// Whatever the order in which edits come, and from whichever side, the view
+// never shows a lower revision after a higher one, and ends with the highest.
+func TestNeverReverts(t *testing.T) {
+	steps := []func(s *session){
+		func(s *session) { s.pulled(peer2, 0, wireValue("data_centres", 13, "c")) },
+		func(s *session) { s.pulled(peer3, 0, wireValue("data_centres", 11, "a")) },
+		func(s *session) { s.pulled(peer4, 0, wireValue("=data_centres", 10, "vatva in")) },
+		func(s *session) {
+			s.in(Watched{Sent: s.sent["watch"], Revision: 12, Changed: []ValueRevision{{"data_centres", 12}}})
+		},
+		func(s *session) { s.in(Got{"data_centres", Value{"data_centres", 12, []byte("b")}, nil}) },
+		func(s *session) { s.in(Got{Name: "data_centres", Err: errDown}) },
+	}
+	permute(len(steps), func(order []int) {
+		s := started()
+		s.tick(200 * time.Millisecond)
+		for _, i := range order {
+			steps[i](s)
+			s.tick(400 * time.Millisecond)
+		}
+		last := table.Revision(0)
+		for _, v := range s.views {
+			if v.Table == nil {
+				continue
+			}
+			assert.Assert(t, v.Table.Revision >= last, "order %v: %d after %d", order, v.Table.Revision, last)
+			last = v.Table.Revision
+		}
+		assert.Equal(t, viewText(s.core.view), `table=13 data_centre="c" vms=1 ready=true paused=false`, "order %v", order)
+	})
+}
+
+func permute(n int, f func([]int)) {
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	var next func(k int)
+	next = func(k int) {
+		if k == n {
+			f(order)
+			return
+		}
+		for i := k; i < n; i++ {
+			order[k], order[i] = order[i], order[k]
+			next(k + 1)
+			order[k], order[i] = order[i], order[k]
+		}
+	}
+	next(0)
+}
+
+// After an edit the service answers from an old copy.
+func TestStaleCopy(t *testing.T) {
+	s := started()
+	s.tick(200 * time.Millisecond)
+	s.watched(11, ValueRevision{"data_centres", 11})
+	s.tick(400 * time.Millisecond)
+	s.note("the value is older than the watch said")
+	s.got("data_centres", 10, "vatva in")
+	s.got("data_centres", 11, "vatva out")
+	s.note("the watch is older than what is held")
+	s.watched(10)
+	s.watched(11)
+	s.golden(t)
+}
+
+// A process starts while the service is down: on peers alone it becomes ready,
+// with neither it does not.
+func TestServiceDown(t *testing.T) {
+	s := newSession(peer2, peer3)
+	s.in(Ticked{})
+	s.note("a seed has all")
+	s.in(SyncAnswered{Sent: s.now, From: peer2, Pull: true, Reply: &wire.SyncReply{
+		Newer:          []*wire.Value{wireValue("classes", 9, "fine"), wireValue("data_centres", 10, "vatva in")},
+		Have:           []*wire.ValueRevision{{Revision: 1}},
+		VmList:         encodeList(testList(1, 4)),
+		VmListVersion:  1,
+		ConfirmedAgeMs: 60_000,
+	}})
+	s.agrees(peer2, 60_000)
+	s.note("its confirmation is a minute old, so the service is asked as well")
+	s.tick(2 * time.Second)
+	assert.Assert(t, !s.core.view.Ready)
+	s.in(Watched{Sent: s.sent["watch"], Err: errDown})
+	assert.Assert(t, s.core.view.Ready)
+	s.golden(t)
+
+	s = newSession(peer2, peer3)
+	s.in(Ticked{})
+	for range 60 {
+		s.tick(time.Second)
+		for _, p := range []Address{peer2, peer3} {
+			for _, pull := range []bool{false, true} {
+				s.in(SyncAnswered{Sent: s.now, From: p, Pull: pull, Err: errDown})
+			}
+		}
+		s.in(Watched{Sent: s.sent["watch"], Err: errDown})
+		s.in(Listed{Sent: s.sent["list"], Err: errDown})
+	}
+	assert.Assert(t, !s.core.view.Ready)
+}
+
+// A stale service must not make a new process ready before its peers answered.
+func TestFreshAsksPeers(t *testing.T) {
+	s := newSession(peer2, peer3)
+	s.in(Ticked{})
+	s.list(testList(1, 4))
+	s.watched(8, ValueRevision{"classes", 8})
+	s.got("classes", 8, "fine")
+	s.tick(time.Second)
+	assert.Equal(t, viewText(s.core.view), "table=8 vms=1 ready=false paused=false")
+	s.in(SyncAnswered{Sent: s.now, From: peer2, Reply: &wire.SyncReply{
+		Have: []*wire.ValueRevision{{Revision: 1}, {Name: "data_centres", Revision: 11}},
+	}})
+	assert.Assert(t, !s.core.view.Ready)
+	s.tick(3 * time.Second)
+	s.pulled(peer2, 100, wireValue("data_centres", 11, "vatva out"))
+	s.agrees(peer2, 100)
+	assert.Equal(t, viewText(s.core.view), `table=11 data_centre="vatva out" vms=1 ready=true paused=false`)
+}
+
+// A bad value is refused as a whole and logged once; an edit of another value
+// is in force meanwhile, and a new process finds the copy that is in force.
+func TestBadValue(t *testing.T) {
+	s := started()
+	s.note("a bad value")
+	s.pulled(peer2, 0, wireValue("classes", 11, "bad"))
+	s.tick(1200 * time.Millisecond)
+	s.note("a good one of another name")
+	s.pulled(peer2, 0, wireValue("data_centres", 12, "vatva out"))
+	for _, r := range s.core.Refused() {
+		s.note("refused %s@%d, in force %d: %v", r.Name, r.Revision, r.InForce, r.Err)
+	}
+	s.note("a new process pulls")
+	es := s.in(SyncAsked{&wire.SyncRequest{From: string(peer3)}})
+	fresh := newSession(peer2)
+	fresh.in(Ticked{})
+	for _, e := range es {
+		if a, ok := e.(Answer); ok {
+			fresh.pulled(peer2, 0, a.Reply.Newer...)
+		}
+	}
+	assert.Equal(t, viewText(fresh.core.view), `table=12 data_centre="vatva out" vms=0 ready=false paused=false`)
+	s.note("mended")
+	s.pulled(peer2, 0, wireValue("classes", 13, "fine"))
+	s.tick(1200 * time.Millisecond)
+	assert.Equal(t, len(s.core.Refused()), 0)
+	s.golden(t)
+}
+
+// A paused process works again once it heard from somebody that was asked
+// after the pause, and not before.
+func TestPause(t *testing.T) {
+	s := started()
+	s.tick(time.Second)
+	s.await("watch")
+	before := s.sent["watch"]
+	s.now = s.now.Add(20 * time.Second)
+	s.note("an answer of before the pause comes first")
+	s.in(Watched{Sent: before, Revision: 10})
+	assert.Assert(t, s.core.view.Paused)
+	s.note("a peer that was paused as well")
+	s.agrees(peer3, unknownAge)
+	assert.Assert(t, s.core.view.Paused)
+	s.note("a peer that knows of an edit")
+	s.in(SyncAnswered{Sent: s.now, From: peer4, Reply: &wire.SyncReply{
+		Have: []*wire.ValueRevision{{Revision: 1}, {Name: "data_centres", Revision: 11}}, ConfirmedAgeMs: 100,
+	}})
+	assert.Assert(t, s.core.view.Paused)
+	s.pulled(peer4, 100, wireValue("data_centres", 11, "vatva out"))
+	assert.Equal(t, viewText(s.core.view), `table=11 data_centre="vatva out" vms=1 ready=true paused=false`)
+	s.golden(t)
+}
+
+// A paused process that nobody answers does not go on.
+func TestPausedAlone(t *testing.T) {
+	s := started()
+	s.now = s.now.Add(20 * time.Second)
+	for range 100 {
+		for _, e := range s.in(Ticked{}) {
+			switch e := e.(type) {
+			case CallSync:
+				s.in(SyncAnswered{Sent: e.Sent, From: e.To, Pull: e.Pull, Err: errDown})
+			case CallWatch:
+				s.in(Watched{Sent: e.Sent, Err: errDown})
+			}
+		}
+		s.now = s.now.Add(TickInterval)
+	}
+	assert.Assert(t, s.core.view.Paused)
+	s.note("all were paused: their word counts after a while")
+	s.in(Ticked{})
+	s.now = s.now.Add(TickInterval)
+	s.agrees(peer2, unknownAge)
+	assert.Assert(t, !s.core.view.Paused)
+}
+
+// However the platform answers, the calls of all processes together stay in
+// its budget: here each process is alone and each call shows another edit.
+func TestCallBudget(t *testing.T) {
+	const readers = centreCount * (readerCount + standbyCount)
+	for _, n := range []int{20, 200, 700, 1000, 1450} {
+		sum := min(n, readers)*mostCallsOf(n, true) + max(0, n-readers)*mostCallsOf(n, false)
+		t.Logf("%d processes: %d calls/s", n, sum)
+		assert.Assert(t, sum < 2000, "%d processes", n)
+	}
+}
+
+// mostCallsOf gives the most calls of one process in a second.
+func mostCallsOf(size int, reads bool) int {
+	s := newSession(peer2)
+	l := testList(1, size)
+	for i := 1; i < size && !reads; i++ {
+		l.VMs[i].DataCentre = "vatva"
+	}
+	for i := 1; i < size && reads; i++ {
+		l.VMs[i].DataCentre = "naroda"
+	}
+	if !reads {
+		s.core.Self = l.VMs[lastReader(l)]
+	}
+	var calls []time.Time
+	revision := table.Revision(0)
+	for range 300 {
+		s.now = s.now.Add(TickInterval)
+		pending := s.core.Handle(s.now, Ticked{})
+		for len(pending) > 0 && len(calls) < 10_000 {
+			e := pending[0]
+			pending = pending[1:]
+			var m Message
+			switch e := e.(type) {
+			case CallWatch:
+				revision++
+				m = Watched{e.Sent, revision, []ValueRevision{{fmt.Sprintf("v%d", revision%5), revision}}, nil}
+			case CallGet:
+				m = Got{e.Name, Value{e.Name, revision, []byte("fine")}, nil}
+			case CallList:
+				m = Listed{e.Sent, l, nil}
+			default:
+				continue
+			}
+			calls = append(calls, s.now)
+			pending = append(pending, s.core.Handle(s.now, m)...)
+		}
+	}
+	most, first := 0, 0
+	for i, c := range calls {
+		for c.Sub(calls[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// lastReader gives a VM that is neither reader nor standby, if there is one.
+func lastReader(l VMList) int {
+	for i, v := range l.VMs {
+		var r reader
+		r.rank(v, l)
+		if !r.isReader() && !r.isStandby() {
+			return i
+		}
+	}
+	return 0
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -14,8 +14,12 @@
 const (
 	// readerCount is how many processes of a data centre read the platform.
 	readerCount = 2
-	// readerRate is a reader's calls a second, and its burst.
-	readerRate = 10
+	// standbyCount is how many more read when confirmations are late.
+	standbyCount = 4
+	// readerRate is the calls a second of a reader or standby, and the burst.
+	readerRate = 5
+	// mostRate is the same for other processes of a small fleet.
+	mostRate = 10
 	// sharedRate is the calls a second that processes which do not read by
 	// rank divide among them, as long as that gives each leastRate.
 	sharedRate = 700
@@ -45,7 +49,8 @@
 	tokens   float64
 	filledAt time.Time
 	size     int
-	isReader bool
+	// place is the rank in the own data centre, from 0; -1 for none.
+	place int
 	// cursor is the revision up to which every value is held.
 	cursor  table.Revision
 	target  table.Revision
@@ -59,7 +64,7 @@
 	listTurn bool
 }
 
-// rank finds whether this process is one of the readers of its data centre.
+// rank finds the place among those of the data centre that may read.
 func (r *reader) rank(self VM, l VMList) {
 	r.size = len(l.VMs)
 	var names []VMName
@@ -74,19 +79,25 @@
 		}
 		return 1
 	})
-	i := slices.Index(names, self.Name)
-	r.isReader = i >= 0 && i < readerCount
+	r.place = slices.Index(names, self.Name)
+}
+
+func (r *reader) isReader() bool { return r.place >= 0 && r.place < readerCount }
+
+func (r *reader) isStandby() bool {
+	return r.place >= readerCount && r.place < readerCount+standbyCount
 }
 
 // rate is the calls a second, and the burst.
 func (r *reader) rate() float64 {
-	switch {
-	case r.isReader:
-		return readerRate
-	case r.size == 0:
+	if r.size == 0 {
 		return leastRate
 	}
-	return max(leastRate, min(readerRate, sharedRate/float64(r.size)))
+	shared := min(mostRate, sharedRate/float64(r.size))
+	if r.isReader() || r.isStandby() {
+		return max(readerRate, shared)
+	}
+	return max(leastRate, shared)
 }
 
 // take takes a token for a call.
@@ -119,13 +130,14 @@
 // mustRead says that this process reads: as one of the readers, or because
 // what it hears from peers is old, there are none, or it was paused.
 func (c *Core) mustRead() bool {
-	if c.reader.isReader || c.paused || c.lone() {
+	if c.reader.isReader() || c.paused || c.lone() {
 		return true
 	}
 	if c.confirmedAt.IsZero() || c.list.Version == 0 {
 		return c.now.Sub(c.started) >= startGrace
 	}
-	return c.now.Sub(c.confirmedAt) > ageBound
+	age := c.now.Sub(c.confirmedAt)
+	return age > ageBound || c.reader.isStandby() && age > standbyBound
 }
 
 func (c *Core) readConfig() {
--- /dev/null
+++ b/internal/fleet/session_test.go
@@ -0,0 +1,264 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/golden"
+
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// session is a core with a transcript of its messages and effects.
+type session struct {
+	core *Core
+	now  time.Time
+	sent map[string]time.Time
+	open map[string]bool
+	text strings.Builder
+	// loud holds every view but the quiet ones.
+	views []*View
+}
+
+var sessionStart = time.Unix(1000, 0)
+
+func newSession(seeds ...Address) *session {
+	return &session{
+		now:  sessionStart,
+		sent: make(map[string]time.Time),
+		open: make(map[string]bool),
+		core: &Core{
+			Self:  VM{Name: "b_1", Role: Gateway, DataCentre: "vatva", Address: "10.0.0.1:7000", State: Live},
+			Seeds: seeds,
+			Parse: fakeParse,
+			Seed:  3,
+		},
+	}
+}
+
+func testList(version ListVersion, n int) VMList {
+	l := VMList{Version: version}
+	for i := range n {
+		l.VMs = append(l.VMs, VM{
+			Name:       VMName(fmt.Sprintf("b_%d", i+1)),
+			Role:       Gateway,
+			DataCentre: "vatva",
+			Address:    Address(fmt.Sprintf("10.0.0.%d:7000", i+1)),
+			State:      Live,
+		})
+	}
+	return l
+}
+
+func (s *session) note(format string, args ...any) {
+	fmt.Fprintf(&s.text, "\n# "+format+"\n", args...)
+}
+
+// in gives the core a message now.
+func (s *session) in(m Message) []Effect {
+	es := s.core.Handle(s.now, m)
+	if _, tick := m.(Ticked); !tick || len(es) > 0 {
+		fmt.Fprintf(&s.text, "%6.2f <- %s\n", s.now.Sub(sessionStart).Seconds(), describe(m))
+	}
+	for _, e := range es {
+		switch e := e.(type) {
+		case CallWatch:
+			s.sent["watch"], s.open["watch"] = e.Sent, true
+		case CallList:
+			s.sent["list"], s.open["list"] = e.Sent, true
+		case CallGet:
+			s.open[e.Name] = true
+		case CallSync:
+			s.sent[fmt.Sprint(e.To, e.Pull)] = e.Sent
+		case ViewChanged:
+			s.views = append(s.views, e.View)
+			if e.Quiet {
+				continue
+			}
+		}
+		fmt.Fprintf(&s.text, "       -> %s\n", describe(e))
+	}
+	return es
+}
+
+// tick lets time pass, a tick each TickInterval.
+func (s *session) tick(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(TickInterval)
+		s.in(Ticked{})
+	}
+}
+
+// await ticks until a call is made, ten seconds at most.
+func (s *session) await(call string) {
+	for i := 0; i < 50 && !s.open[call]; i++ {
+		s.tick(TickInterval)
+	}
+	s.open[call] = false
+}
+
+func (s *session) list(l VMList) {
+	s.await("list")
+	s.in(Listed{Sent: s.sent["list"], List: l})
+}
+
+func (s *session) watched(r table.Revision, changed ...ValueRevision) {
+	s.await("watch")
+	s.in(Watched{Sent: s.sent["watch"], Revision: r, Changed: changed})
+}
+
+func (s *session) got(name string, r table.Revision, text string) {
+	s.await(name)
+	s.in(Got{name, Value{name, r, []byte(text)}, nil})
+}
+
+// serve answers the reads of these values in the order of the core.
+func (s *session) serve(vs ...Value) {
+	for range 50 {
+		for _, v := range vs {
+			if s.open[v.Name] {
+				s.got(v.Name, v.Revision, string(v.Data))
+			}
+		}
+		if s.core.reader.target == 0 {
+			return
+		}
+		s.tick(TickInterval)
+	}
+}
+
+// pulled is the answer of a peer that holds what this core will then hold.
+func (s *session) pulled(from Address, age uint64, vs ...*wire.Value) {
+	digest := s.core.values.digest
+	for _, v := range vs {
+		old, held := s.core.values.newest[v.Name]
+		if isCopy(v.Name) || held && uint64(old.Revision) >= v.Revision {
+			continue
+		}
+		if held {
+			digest ^= hashRevision(old)
+		}
+		digest ^= hashRevision(Value{Name: v.Name, Revision: table.Revision(v.Revision)})
+	}
+	s.in(SyncAnswered{Sent: s.sent[fmt.Sprint(from, true)], From: from, Pull: true, Reply: &wire.SyncReply{
+		Newer: vs, ConfirmedAgeMs: age, Have: []*wire.ValueRevision{{Revision: digest}},
+	}})
+}
+
+// agrees is the answer to a probe of a peer that holds the same.
+func (s *session) agrees(from Address, age uint64) {
+	s.in(SyncAnswered{Sent: s.sent[fmt.Sprint(from, false)], From: from, Reply: &wire.SyncReply{
+		ConfirmedAgeMs: age, Have: []*wire.ValueRevision{s.core.digestEntry()},
+		VmListVersion: uint64(s.core.list.Version),
+	}})
+}
+
+func (s *session) golden(t *testing.T) {
+	t.Helper()
+	golden.Assert(t, s.text.String(), strings.ToLower(t.Name())+".txt")
+}
+
+// started is a session with a table of revision 10 in force, and three peers.
+func started() *session {
+	s := newSession()
+	s.in(Ticked{})
+	s.list(testList(1, 4))
+	s.watched(10, ValueRevision{"classes", 9}, ValueRevision{"data_centres", 10})
+	s.serve(Value{"classes", 9, []byte("fine")}, Value{"data_centres", 10, []byte("vatva in")})
+	for _, v := range testList(1, 4).VMs[1:] {
+		s.agrees(v.Address, 500)
+		s.pulled(v.Address, 500)
+	}
+	s.text.Reset()
+	return s
+}
+
+func wireValue(name string, r uint64, text string) *wire.Value {
+	return &wire.Value{Name: name, Revision: r, Data: []byte(text)}
+}
+
+func describe(x any) string {
+	switch x := x.(type) {
+	case Ticked:
+		return "ticked"
+	case Watched:
+		if x.Err != nil {
+			return "watched: " + x.Err.Error()
+		}
+		return fmt.Sprintf("watched revision=%d changed=%v", x.Revision, x.Changed)
+	case Got:
+		return fmt.Sprintf("got %s@%d %q err=%v", x.Name, x.Value.Revision, x.Value.Data, x.Err)
+	case Listed:
+		return fmt.Sprintf("listed version=%d vms=%d err=%v", x.List.Version, len(x.List.VMs), x.Err)
+	case SyncAsked:
+		return fmt.Sprintf("sync_asked by %s have=%s", x.Request.From, vectorText(x.Request.Have))
+	case SyncAnswered:
+		if x.Err != nil {
+			return fmt.Sprintf("sync_answered by %s: %v", x.From, x.Err)
+		}
+		return fmt.Sprintf("sync_answered by %s pull=%v have=%s newer=%s age=%s",
+			x.From, x.Pull, vectorText(x.Reply.Have), newerText(x.Reply.Newer), ageText(x.Reply.ConfirmedAgeMs))
+	case BehindHeard:
+		return fmt.Sprintf("behind_heard from=%s revision=%d list=%d", x.From, x.Revision, x.List)
+	case CallWatch:
+		return fmt.Sprintf("call_watch after=%d wait=%v", x.After, x.Wait)
+	case CallGet:
+		return "call_get " + x.Name
+	case CallList:
+		return fmt.Sprintf("call_list after=%d wait=%v", x.After, x.Wait)
+	case CallSync:
+		return fmt.Sprintf("call_sync to=%s pull=%v have=%s list=%d age=%s",
+			x.To, x.Pull, vectorText(x.Request.Have), x.Request.VmListVersion, ageText(x.Request.ConfirmedAgeMs))
+	case Answer:
+		return fmt.Sprintf("answer have=%s newer=%s", vectorText(x.Reply.Have), newerText(x.Reply.Newer))
+	case ViewChanged:
+		return "view " + viewText(x.View)
+	case Report:
+		return fmt.Sprintf("report %s subject=%q revision=%d err=%v", x.Event.Entry().Name, x.Subject, x.Revision, x.Err)
+	}
+	return fmt.Sprintf("%T", x)
+}
+
+func viewText(v *View) string {
+	text := "no table"
+	if v.Table != nil {
+		text = fmt.Sprintf("table=%d", v.Table.Revision)
+		for name := range v.Table.DataCentres {
+			text += fmt.Sprintf(" data_centre=%q", name)
+		}
+	}
+	return fmt.Sprintf("%s vms=%d ready=%v paused=%v", text, v.VMs.Version, v.Ready, v.Paused)
+}
+
+func vectorText(vs []*wire.ValueRevision) string {
+	texts := []string{}
+	for _, v := range vs {
+		if v.Name == digestName {
+			texts = append(texts, "digest")
+			continue
+		}
+		texts = append(texts, fmt.Sprintf("%s@%d", v.Name, v.Revision))
+	}
+	return "[" + strings.Join(texts, " ") + "]"
+}
+
+func newerText(vs []*wire.Value) string {
+	texts := []string{}
+	for _, v := range vs {
+		texts = append(texts, fmt.Sprintf("%s@%d", v.Name, v.Revision))
+	}
+	return "[" + strings.Join(texts, " ") + "]"
+}
+
+func ageText(ms uint64) string {
+	if ms == unknownAge {
+		return "unknown"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
+var errDown = result.Errorf(result.ConfigUnreached, "call /v1/watch: refused")
