Divide account limits over gateways by owned units

Cause: the sum of what gateways admit must stay within an account's limit while they come, go and see different lists. Ruled out: equal shares with remainders by rank, which differing views can hand out twice; leases from an owner, which need a message a request or a lease per account and two owners while views differ. Change: each unit of a limit belongs to the first gateway by rendezvous hash; a new gateway waits to be counted; one that is apart takes half. Conclusion: the sum holds at every second of TestSumInFlight.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -192,13 +192,17 @@
 	s := started()
 	s.tick(time.Second)
 	s.await("watch")
-	before := s.sent["watch"]
+	before, probed := s.sent["watch"], s.sent[fmt.Sprint(peer2, false)]
 	s.now = s.now.Add(20 * time.Second)
 	s.note("an answer of before the pause comes first")
 	s.in(Watched{Sent: before, Revision: 10})
 	assert.Assert(t, s.core.view.Paused)
+	s.in(SyncAnswered{Sent: probed, From: peer2, Reply: &wire.SyncReply{
+		Have: []*wire.ValueRevision{s.core.digestEntry()}, ConfirmedAgeMs: 100,
+	}})
+	assert.Assert(t, s.core.view.Paused)
 	s.note("a peer that was paused as well")
-	s.agrees(peer3, unknownAge)
+	s.agrees(peer2, unknownAge)
 	assert.Assert(t, s.core.view.Paused)
 	s.note("a peer that knows of an edit")
 	s.in(SyncAnswered{Sent: s.now, From: peer4, Reply: &wire.SyncReply{
--- /dev/null
+++ b/internal/quota/members.go
@@ -0,0 +1,135 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+)
+
+// DefaultHold is how long a gateway that nobody hears of is still counted. A
+// round of questions among 350 gateways fits into it twice.
+const DefaultHold = 150 * time.Second
+
+// members are the gateways that limits are divided by.
+//
+// A gateway takes part once every other that it counts counts it too, or has
+// not answered for a hold. One that has lost both the platform and the
+// majority of the others for a hold is apart and takes half of its share, as
+// others may by then have joined or closed ranks without it.
+type members struct {
+	hold time.Duration
+
+	started   time.Time
+	listed    map[fleet.VMName]bool
+	confirmed time.Time
+	// lastSeen is when a gateway was last on the list or asked to be counted.
+	lastSeen map[fleet.VMName]time.Time
+	// heard is when a gateway last asked or answered.
+	heard map[fleet.VMName]time.Time
+	// counting holds those that said that they count this gateway.
+	counting map[fleet.VMName]bool
+	joined   bool
+	joinedAt time.Time
+	sorted   []fleet.VMName
+	// version grows with each change of sorted.
+	version uint64
+}
+
+func (m *members) init(now time.Time) {
+	if m.lastSeen != nil {
+		return
+	}
+	m.started = now
+	m.lastSeen = make(map[fleet.VMName]time.Time)
+	m.heard = make(map[fleet.VMName]time.Time)
+	m.counting = make(map[fleet.VMName]bool)
+}
+
+// list takes the gateways of the VM list, and when the platform was last heard.
+func (m *members) list(now time.Time, self fleet.VMName, names []fleet.VMName, confirmed time.Time) {
+	m.listed = make(map[fleet.VMName]bool, len(names))
+	m.confirmed = confirmed
+	for _, n := range names {
+		m.listed[n] = true
+		m.lastSeen[n] = now
+	}
+	m.lastSeen[self] = now
+	m.refresh(now, self)
+}
+
+// refresh forgets gateways that nobody has heard of for a hold.
+func (m *members) refresh(now time.Time, self fleet.VMName) {
+	names := make([]fleet.VMName, 0, len(m.lastSeen))
+	for n, seen := range m.lastSeen {
+		if n != self && !m.listed[n] && now.Sub(seen) >= m.hold {
+			delete(m.lastSeen, n)
+			delete(m.heard, n)
+			delete(m.counting, n)
+			continue
+		}
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, m.sorted) {
+		m.sorted = names
+		m.version++
+	}
+	m.tryJoin(now, self)
+}
+
+func (m *members) tryJoin(now time.Time, self fleet.VMName) {
+	if m.joined || m.listed == nil {
+		return
+	}
+	// Those that do not answer lost touch a round of questions after the start
+	// at the latest, and must be apart by now.
+	wait := m.hold + m.hold/4
+	if len(m.waiting(self)) > 0 && (now.Sub(m.started) < wait || m.apart(now, self)) {
+		return
+	}
+	m.joined, m.joinedAt = true, now
+}
+
+// waiting gives those that have not said that they count this gateway.
+func (m *members) waiting(self fleet.VMName) []fleet.VMName {
+	var names []fleet.VMName
+	for _, n := range m.sorted {
+		if n != self && !m.counting[n] {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// count counts gateways that ask for it.
+func (m *members) count(now time.Time, self fleet.VMName, names []fleet.VMName) {
+	for _, n := range names {
+		m.lastSeen[n], m.heard[n] = now, now
+	}
+	m.refresh(now, self)
+}
+
+// answered takes a gateway's word on whether it counts this one.
+func (m *members) answered(now time.Time, self, from fleet.VMName, counts bool) {
+	m.heard[from] = now
+	if counts {
+		m.counting[from] = true
+	}
+	m.refresh(now, self)
+}
+
+// apart says that this gateway heard neither of the platform nor of the
+// majority of the gateways for a hold.
+func (m *members) apart(now time.Time, self fleet.VMName) bool {
+	if now.Sub(m.confirmed) < m.hold {
+		return false
+	}
+	near := 1
+	for _, n := range m.sorted {
+		if h, ok := m.heard[n]; ok && n != self && now.Sub(h) < m.hold {
+			near++
+		}
+	}
+	return len(m.sorted) < 2 || 2*near <= len(m.sorted)
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,260 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const testHold = 30 * time.Second
+
+// group is some gateways, the list that the platform gives, and cuts.
+type group struct {
+	now     time.Time
+	cores   map[fleet.VMName]*Core
+	order   []fleet.VMName
+	list    []fleet.VMName
+	cut     func(a, b fleet.VMName) bool
+	noList  func(a fleet.VMName) bool
+	views   map[fleet.VMName][]fleet.VMName
+	heardAt map[fleet.VMName]time.Time
+}
+
+func newGroup() *group {
+	return &group{
+		now:     time.Unix(1000, 0),
+		cores:   make(map[fleet.VMName]*Core),
+		views:   make(map[fleet.VMName][]fleet.VMName),
+		heardAt: make(map[fleet.VMName]time.Time),
+		cut:     func(_, _ fleet.VMName) bool { return false },
+		noList:  func(fleet.VMName) bool { return false },
+	}
+}
+
+// start starts a gateway that is on the list from now on.
+func (g *group) start(n fleet.VMName) {
+	g.cores[n] = &Core{Self: n, Hold: testHold}
+	g.order = append(g.order, n)
+	g.list = append(g.list[:len(g.list):len(g.list)], n)
+}
+
+func (g *group) kill(n fleet.VMName) { delete(g.cores, n) }
+
+func (g *group) unlist(n fleet.VMName) {
+	var kept []fleet.VMName
+	for _, m := range g.list {
+		if m != n {
+			kept = append(kept, m)
+		}
+	}
+	g.list = kept
+}
+
+// step is a second: each gateway sees the list and asks all it counts.
+func (g *group) step() {
+	g.now = g.now.Add(time.Second)
+	for _, n := range g.order {
+		c, up := g.cores[n]
+		if !up {
+			continue
+		}
+		if !g.noList(n) {
+			g.views[n], g.heardAt[n] = g.list, g.now
+		}
+		if g.views[n] != nil {
+			c.Gateways(g.now, g.views[n], g.heardAt[n])
+		}
+		for _, m := range c.Members() {
+			if other, ok := g.cores[m]; ok && m != n && !g.cut(n, m) {
+				other.Count(g.now, []fleet.VMName{n})
+				c.Answered(g.now, m, true)
+			}
+		}
+	}
+}
+
+// flood offers more than the limit at each gateway, and gives what is admitted.
+func (g *group) flood(a table.Account, estimate table.Tokens) (requests int) {
+	for _, n := range g.order {
+		for c, up := g.cores[n]; up; {
+			if code, _ := c.Take(g.now, a, estimate); code != result.OK {
+				break
+			}
+			requests++
+		}
+	}
+	return requests
+}
+
+func (g *group) finish(a table.Account, estimate table.Tokens) {
+	for _, c := range g.cores {
+		if s := c.accounts[a.Name]; s != nil {
+			for s.inFlight > 0 {
+				c.Done(g.now, a, estimate, estimate)
+			}
+		}
+	}
+}
+
+func (g *group) joined() int {
+	n := 0
+	for _, c := range g.cores {
+		if c.Joined() {
+			n++
+		}
+	}
+	return n
+}
+
+// Gateways join, die, and are listed late, in a random order: no unit is held
+// twice at any moment, and with all in touch the whole limit is used.
+func TestSumInFlight(t *testing.T) {
+	for seed := range uint64(5) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		g := newGroup()
+		a := table.Account{Name: "large", InFlight: 40}
+		for i := range 4 {
+			g.start(fleet.VMName(fmt.Sprintf("vm_%d", i)))
+		}
+		for i := range 400 {
+			switch n := g.order[r.IntN(len(g.order))]; {
+			case i%40 == 10:
+				g.start(fleet.VMName(fmt.Sprintf("new_%d", i)))
+			case i%40 == 25 && len(g.cores) > 2:
+				g.kill(n)
+				g.unlist(n)
+			}
+			late := g.order[r.IntN(len(g.order))]
+			g.noList = func(n fleet.VMName) bool { return n == late || n == g.order[i%2] }
+			g.step()
+			admitted := g.flood(a, 0)
+			assert.Assert(t, admitted <= a.InFlight, "seed %d second %d: %d", seed, i, admitted)
+			g.finish(a, 0)
+		}
+		g.noList = func(fleet.VMName) bool { return false }
+		for range 31 {
+			g.step()
+		}
+		assert.Equal(t, g.flood(a, 0), a.InFlight, "seed %d", seed)
+	}
+}
+
+// Over a window of t seconds no more than burst + t x rate is admitted, though
+// a gateway dies with its bucket spent and another takes its place.
+func TestSumRate(t *testing.T) {
+	g := newGroup()
+	a := table.Account{Name: "large", RequestsPerSecond: 20, Burst: 30, TokensPerMinute: 120_000}
+	for _, n := range []fleet.VMName{"vm_0", "vm_1", "vm_2"} {
+		g.start(n)
+	}
+	for range 20 {
+		g.step()
+	}
+	sum := 0
+	for i := range 180 {
+		switch i {
+		case 20:
+			g.kill("vm_1")
+			g.unlist("vm_1")
+		case 40:
+			g.start("vm_3")
+		}
+		g.step()
+		sum += g.flood(a, 100)
+		g.finish(a, 100)
+		assert.Assert(t, sum <= 30+20*(i+2), "second %d: %d", i, sum)
+		assert.Assert(t, sum*100 <= 120_000+2000*(i+2), "second %d: %d tokens", i, sum*100)
+	}
+	assert.Assert(t, sum >= 180*20*3/4, "admitted %d of %d", sum, 180*20)
+}
+
+// Half of four gateways is cut off from the rest and from the platform, and
+// three join on the other side: the sum stays within the limit. If the list
+// then drops the half that lives on, it reaches one and a half limits at most.
+func TestPartition(t *testing.T) {
+	g := newGroup()
+	a := table.Account{Name: "large", InFlight: 64}
+	for i := range 4 {
+		g.start(fleet.VMName(fmt.Sprintf("vm_%d", i)))
+	}
+	g.step()
+	g.step()
+	far := func(n fleet.VMName) bool { return n == "vm_0" || n == "vm_1" }
+	g.cut = func(a, b fleet.VMName) bool { return far(a) != far(b) }
+	g.noList = far
+	check := func(seconds int, most int) {
+		t.Helper()
+		for i := range seconds {
+			g.step()
+			n := g.flood(a, 0)
+			assert.Assert(t, n <= most, "second %d: %d", i, n)
+			g.finish(a, 0)
+		}
+	}
+	check(10, a.InFlight)
+	for i := range 3 {
+		g.start(fleet.VMName(fmt.Sprintf("new_%d", i)))
+	}
+	check(60, a.InFlight)
+	assert.Equal(t, g.joined(), 7)
+	g.unlist("vm_0")
+	g.unlist("vm_1")
+	check(60, a.InFlight*3/2)
+	g.cut = func(_, _ fleet.VMName) bool { return false }
+	g.noList = func(fleet.VMName) bool { return false }
+	g.list = append(g.list, "vm_0", "vm_1")
+	check(1, a.InFlight*3/2)
+	check(60, a.InFlight)
+}
+
+// A joining gateway admits nothing of limited accounts, and all of others.
+func TestJoining(t *testing.T) {
+	g := newGroup()
+	g.start("vm_0")
+	g.step()
+	g.start("vm_1")
+	g.cut = func(_, _ fleet.VMName) bool { return true }
+	g.step()
+	c := g.cores["vm_1"]
+	code, after := c.Take(g.now, table.Account{Name: "a", InFlight: 5}, 0)
+	assert.Equal(t, code, result.NotReady)
+	assert.Equal(t, after, joinRetry)
+	code, _ = c.Take(g.now, table.Account{Name: "free"}, 0)
+	assert.Equal(t, code, result.OK)
+	for range 38 {
+		g.step()
+	}
+	assert.Assert(t, c.Joined(), "the other did not answer for a hold")
+}
+
+// An account with fewer units than gateways is held by as many gateways, and
+// one that is idle takes no memory.
+func TestSmallAndIdle(t *testing.T) {
+	g := newGroup()
+	for i := range 20 {
+		g.start(fleet.VMName(fmt.Sprintf("vm_%d", i)))
+	}
+	g.step()
+	g.step()
+	a := table.Account{Name: "small", RequestsPerSecond: 2, TokensPerMinute: 500, InFlight: 3}
+	for range 60 {
+		g.step()
+	}
+	assert.Equal(t, g.flood(table.Account{Name: "few", InFlight: 3}, 0), 3)
+	assert.Assert(t, g.flood(a, 400) <= 2)
+	g.finish(a, 400)
+	c := g.cores["vm_0"]
+	for i := range 5000 {
+		c.Take(g.now, table.Account{Name: table.AccountName(fmt.Sprint(i)), RequestsPerSecond: 1000}, 0)
+		c.Done(g.now, table.Account{Name: table.AccountName(fmt.Sprint(i)), RequestsPerSecond: 1000}, 0, 0)
+		g.now = g.now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, len(c.accounts) < 2*sweepEvery, "%d", len(c.accounts))
+}
