Hold client accounts to their limits over all gateways

Cause: a gateway knew only its own requests, so an account's limit held per gateway. Change: the quota task divides limits with the other gateways; a gateway is ready once its shares are settled with them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,8 +47,10 @@
 	// Take gives result.OK, or the code of the limit that is reached and how
 	// long to wait.
 	Take(now time.Time, a table.Account, estimate table.Tokens) (result.Code, time.Duration)
-	// Done gives back what Take took, with the tokens that were really used.
-	Done(now time.Time, a table.Account, used table.Tokens)
+	// Done ends what Take admitted, with the tokens that were really used.
+	Done(now time.Time, a table.Account, estimate, used table.Tokens)
+	// Joined says that the limits' shares are settled with other gateways.
+	Joined() bool
 }
 
 // Suspects knows requests that are suspected of ending upstreams.
@@ -118,6 +120,9 @@
 	if v := g.Fleet.View(); !v.Ready || v.Table == nil {
 		return result.NotReady
 	}
+	if !g.Quota.Joined() {
+		return result.NotReady
+	}
 	return result.OK
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -80,9 +80,6 @@
 		return
 	}
 	a.streamed = c.streamed
-	if g.Quota == nil {
-		g.Quota = noQuota{}
-	}
 	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
 	if code != result.OK {
 		refusal := result.Errorf(code, "client account %q", c.account.Name)
@@ -91,7 +88,7 @@
 		return
 	}
 	var used table.Tokens
-	defer func() { g.Quota.Done(time.Now(), c.account, used) }()
+	defer func() { g.Quota.Done(time.Now(), c.account, c.class.MaxTokens, used) }()
 	a.gaps = g.metrics.gap(c)
 	f, tokens := g.execute(r.Context(), c, a)
 	used = tokens
@@ -162,10 +159,3 @@
 	}
 	return list
 }
-
-type noQuota struct{}
-
-func (noQuota) Take(time.Time, table.Account, table.Tokens) (result.Code, time.Duration) {
-	return result.OK, 0
-}
-func (noQuota) Done(time.Time, table.Account, table.Tokens) {}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -13,6 +13,7 @@
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/gateway"
+	"jasminewing.dev/jasminewing/internal/quota"
 	"jasminewing.dev/jasminewing/internal/setting"
 	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -34,7 +35,7 @@
 	return fx.New(
 		options(p.Settings.StopLimit.Duration),
 		fx.Supply(p, p.Log, &p.Settings.Common),
-		fx.Provide(newDialer, newFleet, p.self, p.open, p.gateway),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.quota, p.gateway),
 		fx.Invoke(p.run),
 	)
 }
@@ -67,11 +68,18 @@
 	}
 }
 
-func (p *Gateway) gateway(f *fleet.Task, d *wire.Dialer, b *suspect.Book, inc fleet.Incarnation) *gateway.Gateway {
+func (p *Gateway) quota(f *fleet.Task) *quota.Task {
+	q := &quota.Task{Self: p.Settings.Name, Fleet: f, Now: time.Now}
+	f.Gateways = q
+	return q
+}
+
+func (p *Gateway) gateway(f *fleet.Task, d *wire.Dialer, q *quota.Task, b *suspect.Book, inc fleet.Incarnation) *gateway.Gateway {
 	g := &gateway.Gateway{
 		Name:       p.Settings.Name,
 		Fleet:      f,
 		Dialer:     d,
+		Quota:      q,
 		Suspects:   b,
 		Log:        p.Log,
 		MaxBody:    p.Settings.MaxBody.N,
@@ -85,13 +93,14 @@
 	return g
 }
 
-func (p *Gateway) run(lc fx.Lifecycle, gr *group, l *gatewayListeners, f *fleet.Task, g *gateway.Gateway) {
+func (p *Gateway) run(lc fx.Lifecycle, gr *group, l *gatewayListeners, f *fleet.Task, q *quota.Task, g *gateway.Gateway) {
 	servePeers(lc, gr, l.peers, &wire.Server{
 		Secret: wire.Secret(p.Settings.FleetSecret),
 		Peer:   &peerServer{fleet: f},
 	}, p.Log)
 	lc.Append(fx.StartHook(func() {
 		gr.run(f.Run)
+		gr.run(q.Run)
 		gr.run(g.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
 	}))
