--- /dev/null
+++ b/cmd/jasminewing/caller_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/demo"
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const (
+	chatPath    = "/v1/chat/completions"
+	bookingPath = "/services/pitch_booking/bookings"
+	endMark     = "data: [DONE]"
+)
+
+// request is what a caller sends.
+type request struct {
+	path   string
+	body   string
+	class  string
+	key    string
+	bearer string
+}
+
+// draft asks for an answer of so many words; the text tells requests apart.
+func draft(text string, words int, streamed bool) request {
+	return request{path: chatPath, body: fmt.Sprintf(
+		`{"model":"draft","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, streamed, words, text)}
+}
+
+// book asks for a booking; key may be empty.
+func book(name, key string) request {
+	return request{path: bookingPath, key: key, body: fmt.Sprintf(`{"booking":%q}`, name)}
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// refusal is the error of a reply, or the one that ends a stream.
+type refusal struct {
+	Code   result.Code `json:"code"`
+	NotRun bool        `json:"not_run"`
+}
+
+func (r reply) refusal() refusal {
+	var e struct {
+		Error refusal `json:"error"`
+	}
+	body := strings.TrimSpace(r.body)
+	if i := strings.LastIndex(body, "\ndata: "); i >= 0 {
+		body = body[i+len("\ndata: "):]
+	}
+	_ = json.Unmarshal([]byte(body), &e)
+	return e.Error
+}
+
+// code gives the number of an error reply, 0 for none.
+func (r reply) code() result.Code { return r.refusal().Code }
+
+// pending is a request whose answer comes in.
+type pending struct {
+	request request
+	done    chan struct{}
+	reply   reply
+
+	mu   sync.Mutex
+	body bytes.Buffer
+}
+
+// begin sends a request to a gateway.
+func (p *proc) begin(r request) *pending {
+	q := &pending{request: r, done: make(chan struct{})}
+	go func() {
+		defer close(q.done)
+		q.reply = q.run(p.callers)
+	}()
+	return q
+}
+
+// send sends a request and waits for the end of its answer.
+func (p *proc) send(r request) reply {
+	q := p.begin(r)
+	<-q.done
+	return q.reply
+}
+
+func (q *pending) run(gateway string) reply {
+	r := q.request
+	out, err := http.NewRequest(http.MethodPost, "http://"+gateway+r.path, strings.NewReader(r.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if r.bearer == "" {
+		r.bearer = demo.MarketKey
+	}
+	out.Header.Set("Authorization", "Bearer "+r.bearer)
+	if r.class != "" {
+		out.Header.Set("Jasminewing-Class", r.class)
+	}
+	if r.key != "" {
+		out.Header.Set("Idempotency-Key", r.key)
+	}
+	resp, err := (&http.Client{Timeout: patience}).Do(out)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(q, resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: q.soFar(), err: err}
+}
+
+// Write keeps a part of the answer.
+func (q *pending) Write(p []byte) (int, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.body.Write(p)
+}
+
+func (q *pending) soFar() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.body.String()
+}
+
+// began says that so many events of a stream have come.
+func (q *pending) began(events int) bool { return strings.Count(q.soFar(), "data: ") >= events }
+
+func (q *pending) ended() bool {
+	select {
+	case <-q.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// text gives the words of an answer, streamed or not.
+func (r reply) text() (text string, ended bool) {
+	type content struct {
+		Content string `json:"content"`
+	}
+	var c struct {
+		Choices []struct {
+			Delta   content `json:"delta"`
+			Message content `json:"message"`
+		} `json:"choices"`
+	}
+	if !strings.HasPrefix(r.body, "data: ") {
+		ended = json.Unmarshal([]byte(r.body), &c) == nil && len(c.Choices) == 1
+		if ended {
+			text = c.Choices[0].Message.Content
+		}
+		return text, ended
+	}
+	for line := range strings.Lines(r.body) {
+		line = strings.TrimSpace(line)
+		if data, ok := strings.CutPrefix(line, "data: "); ok && json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1 {
+			text += c.Choices[0].Delta.Content
+		}
+		ended = ended || line == endMark
+	}
+	return text, ended
+}
+
+// assertWhole checks that a draft's answer is whole and that request's own.
+func assertWhole(t *testing.T, r request, got reply) {
+	t.Helper()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
+	var asked struct {
+		MaxTokens int `json:"max_tokens"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(r.body), &asked))
+	text, ended := got.text()
+	assert.Assert(t, ended, "the answer has no end: %s", got.body)
+	id := got.header.Get("X-Request-Id")
+	assert.Equal(t, text, strings.Join(standin.Words([]byte(r.body), id, asked.MaxTokens, 0, 0), ""))
+}
+
+// assertRefused checks that a reply is no answer but an error of one of these codes.
+func assertRefused(t *testing.T, got reply, notRun bool, codes ...result.Code) {
+	t.Helper()
+	_, ended := got.text()
+	assert.Assert(t, !ended, "a false whole: %d %s", got.status, got.body)
+	e := got.refusal()
+	for _, c := range codes {
+		if e.Code == c {
+			assert.Equal(t, e.NotRun, notRun, "%s", got.body)
+			return
+		}
+	}
+	t.Fatalf("status %d err %v: code %d is none of %v: %s", got.status, got.err, e.Code, codes, got.body)
+}
+
+var requestID = regexp.MustCompile(`req_[0-9a-f]+_[0-9]+`)
+
+// transcript writes down what a caller sent and got, without what changes from
+// run to run.
+func transcript(w io.Writer, gateway string, r request, got reply) {
+	fmt.Fprintf(w, "> %s %s class=%s key=%s %s\n", gateway, r.path, r.class, r.key, r.body)
+	body := requestID.ReplaceAllString(got.body, "REQUEST")
+	fmt.Fprintf(w, "< %d not_whole=%t\n%s\n", got.status, got.err != nil, strings.TrimRight(body, "\n"))
+}
+
+// isBooking says that a reply is the whole answer to a booking, from its first run.
+func isBooking(r reply, name string) bool {
+	var a struct {
+		Booking string `json:"booking"`
+		Run     int    `json:"run"`
+	}
+	return r.err == nil && json.Unmarshal([]byte(r.body), &a) == nil && a.Booking == name && a.Run == 1
+}
--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -268,66 +267,3 @@
 		return -1
 	}
 }
-
-// request is what a caller sends.
-type request struct {
-	path   string
-	body   string
-	class  string
-	key    string
-	bearer string
-}
-
-// reply is what a caller gets.
-type reply struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
-// code gives the number of an error reply, 0 for none.
-func (r reply) code() int {
-	var e struct {
-		Error struct {
-			Code int `json:"code"`
-		} `json:"error"`
-	}
-	_ = json.Unmarshal([]byte(r.body), &e)
-	return e.Error.Code
-}
-
-// send sends a request to a gateway.
-func (p *proc) send(r request) reply {
-	out, err := http.NewRequest(http.MethodPost, "http://"+p.callers+r.path, strings.NewReader(r.body))
-	if err != nil {
-		return reply{err: err}
-	}
-	if r.bearer == "" {
-		r.bearer = demo.MarketKey
-	}
-	out.Header.Set("Authorization", "Bearer "+r.bearer)
-	if r.class != "" {
-		out.Header.Set("Jasminewing-Class", r.class)
-	}
-	if r.key != "" {
-		out.Header.Set("Idempotency-Key", r.key)
-	}
-	resp, err := (&http.Client{Timeout: patience}).Do(out)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
-}
-
-var requestID = regexp.MustCompile(`req_[0-9a-f]+_[0-9]+`)
-
-// transcript writes down what a caller sent and got, without what changes from
-// run to run.
-func transcript(w io.Writer, gateway string, r request, got reply) {
-	fmt.Fprintf(w, "> %s %s class=%s key=%s %s\n", gateway, r.path, r.class, r.key, r.body)
-	body := requestID.ReplaceAllString(got.body, "REQUEST")
-	fmt.Fprintf(w, "< %d not_whole=%t\n%s\n", got.status, got.err != nil, strings.TrimRight(body, "\n"))
-}
