--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -21,6 +21,7 @@
 	"jasminewing.dev/jasminewing/internal/demo"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
 )
 
@@ -50,6 +51,8 @@
 	configAddr string
 	vmListAddr string
 	gateways   []*proc
+	// relayed puts relays round each sidecar.
+	relayed bool
 }
 
 // newCluster starts the platform's stand-ins with the demo's table in force.
@@ -129,14 +132,7 @@
 func (c *cluster) awaitReady(ps ...*proc) {
 	c.t.Helper()
 	for _, p := range ps {
-		c.await("ready "+string(p.vm.Name), func() bool {
-			resp, err := http.Get("http://" + p.admin + "/readyz")
-			if err != nil {
-				return false
-			}
-			_ = resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
+		c.await("ready "+string(p.vm.Name), func() bool { return p.readiness() == result.OK })
 	}
 }
 
@@ -227,12 +223,12 @@
 // started gives a field of the event started, once it is there.
 func (p *proc) started(field string) string {
 	p.t.Helper()
-	var value string
+	var fields map[string]any
 	(&cluster{t: p.t}).await("start of "+p.command.Args[1], func() bool {
-		value = fmt.Sprint(p.event("started")[field])
-		return p.event("started") != nil
+		fields = p.event("started")
+		return fields != nil
 	})
-	return value
+	return fmt.Sprint(fields[field])
 }
 
 func (p *proc) signal(s syscall.Signal) {
