Give up an upstream that is cut off silently

Cause: behind a silent cut an answer under way waited for the class's deadline or a minute of silence, although the health questions had long shown that the upstream gives no sign of life. Its caller got nothing while another upstream stood free.

Ruled out: a shorter silence of the client alone, which would also cut off upstreams that are slow and alive; an end on the first missed health answer.

Change: while the upstream counts as down (two health answers in a row missing), the sidecar ends idempotent answers of which nothing came for 2 s. The gateway then resumes or repeats them elsewhere. What must not repeat still waits for its deadline.

TestCutMidAnswer/drop_between_sidecar_and_upstream failed first: the caller gave up after 20 s, the bound is 10 s. With the change it passes, as do the other seven cuts of TestCutMidAnswer and TestCutMidBooking.

--- /dev/null
+++ b/cmd/jasminewing/cut_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// cutBound bounds the time to an answer when the connection under it is cut:
+// a silent one must first be given up.
+const cutBound = 10 * time.Second
+
+// cut is a way and a place to cut the network at an upstream.
+type cut struct {
+	name  string
+	relay func(*upstream) *standin.Relay
+	cut   func(*standin.Relay)
+}
+
+func cuts() []cut {
+	before := func(u *upstream) *standin.Relay { return u.before }
+	behind := func(u *upstream) *standin.Relay { return u.behind }
+	return []cut{
+		{"reset between gateway and sidecar", before, (*standin.Relay).Reset},
+		{"drop between gateway and sidecar", before, (*standin.Relay).Drop},
+		{"reset between sidecar and upstream", behind, (*standin.Relay).Reset},
+		{"drop between sidecar and upstream", behind, (*standin.Relay).Drop},
+	}
+}
+
+// An engine's connections are cut in the midst of a stream and of a whole
+// answer: both come whole from another engine, in time.
+func TestCutMidAnswer(t *testing.T) {
+	t.Parallel()
+	for _, c := range cuts() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{TokenGap: 20 * time.Millisecond} }, withRelays)
+			for _, streamed := range []bool{true, false} {
+				r := draft("cut", 60, streamed)
+				q, u := d.beginAt(d.gateways[0], r)
+				since := time.Now()
+				c.cut(c.relay(u))
+				d.within("answer", since, cutBound, q.ended)
+				assertWhole(t, r, q.reply)
+				c.relay(u).Restore()
+				d.await("nothing runs", func() bool { return d.running() == nil })
+				d.await("the upstream is back", func() bool { return u.readiness() == result.OK })
+			}
+		})
+	}
+}
+
+// A booking's connections are cut while it runs: its caller is told that the
+// outcome is unknown, or gets the answer; a repeat of the key never runs it
+// again and, after a cut at the gateway, gives the recorded answer.
+func TestCutMidBooking(t *testing.T) {
+	t.Parallel()
+	for _, c := range cuts() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBookings(t, 500*time.Millisecond, withRelays, withEdit("classes", "2s,,10s,2s", "1s,,3s,1s"))
+			r := book("pitch-1", "key-1")
+			since := time.Now()
+			q := b.gateways[0].begin(r)
+			home := b.home("pitch-1")
+			c.cut(c.relay(home))
+			b.within("word on the booking", since, cutBound, q.ended)
+			assertRefused(t, q.reply, false, result.OutcomeUnknown)
+			c.relay(home).Restore()
+
+			var last reply
+			for _, g := range b.gateways {
+				b.await("word on the key", func() bool {
+					last = g.send(r)
+					assert.Assert(t, !last.refusal().NotRun, "a false not run: %s", last.body)
+					return last.status == 200 || last.code() == result.KeyOutcomeUnknown
+				})
+			}
+			if c.relay(home) == home.before {
+				assert.Assert(t, isBooking(last, "pitch-1"), "%s", last.body)
+			}
+			assert.Equal(t, b.runs("pitch-1"), 1)
+		})
+	}
+}
--- a/cmd/jasminewing/fleet_test.go
+++ b/cmd/jasminewing/fleet_test.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// fewSeconds bounds what must hold a few seconds after a data centre is out
+	// outBound bounds what must hold a few seconds after a data centre is out
 	// or an upstream leaves.
-	fewSeconds = 3 * time.Second
-	// configSeconds bounds the time until an edit is in force everywhere.
-	configSeconds = 7 * time.Second
+	outBound = 3 * time.Second
+	// configBound bounds the time until an edit is in force everywhere.
+	configBound = 7 * time.Second
 )
 
 // upstream is a stand-in with the sidecar before it.
@@ -29,6 +29,34 @@
 	*proc
 	engine  *standin.Engine
 	booking *standin.Booking
+	// before and behind are the relays on either side of the sidecar, if asked for.
+	before, behind *standin.Relay
+}
+
+// start starts a sidecar before the stand-in.
+func (u *upstream) start(c *cluster, r upstreamRow, h http.Handler) {
+	address := c.serve(h)
+	if c.relayed {
+		u.behind, address = c.relay(address)
+	}
+	u.proc = c.sidecar(r.name, r.dataCentre, address)
+	if c.relayed {
+		var before string
+		u.before, before = c.relay(string(u.vm.Address))
+		u.vm.Address = fleet.Address(before)
+		c.vms.Set(u.vm)
+	}
+}
+
+// option changes a cluster before its processes start.
+type option func(*cluster)
+
+// withRelays puts a relay on either side of each sidecar.
+func withRelays(c *cluster) { c.relayed = true }
+
+// withEdit edits the table.
+func withEdit(section, old, fresh string) option {
+	return func(c *cluster) { c.edit(section, old, fresh) }
 }
 
 // drafts is a fleet of two gateways and some engines.
@@ -38,24 +66,29 @@
 	gateways  []*proc
 }
 
-// engineRow is an upstream of the demo's table.
-type engineRow struct{ name, dataCentre string }
+// upstreamRow is an upstream of the demo's table.
+type upstreamRow struct{ name, dataCentre string }
 
 var (
-	threeEngines = []engineRow{{"draft_1", "north"}, {"draft_2", "north"}, {"draft_3", "south"}}
-	twoEngines   = []engineRow{{"draft_1", "north"}, {"draft_3", "south"}}
+	threeEngines = []upstreamRow{{"draft_1", "north"}, {"draft_2", "north"}, {"draft_3", "south"}}
+	twoEngines   = []upstreamRow{{"draft_1", "north"}, {"draft_3", "south"}}
+
+	threeBookings = []upstreamRow{{"booking_1", "north"}, {"booking_2", "south"}, {"booking_3", "south"}}
 )
 
 // newDrafts starts two gateways and an engine like the model for each row, and
 // waits until they take work.
-func newDrafts(t *testing.T, rows []engineRow, model func() *standin.Engine) *drafts {
+func newDrafts(t *testing.T, rows []upstreamRow, model func() *standin.Engine, options ...option) *drafts {
 	t.Helper()
 	d := &drafts{cluster: newCluster(t)}
+	for _, o := range options {
+		o(d.cluster)
+	}
 	for _, r := range rows {
-		e := model()
-		e.Name = r.name
-		p := d.sidecar(r.name, r.dataCentre, d.serve(e))
-		d.upstreams = append(d.upstreams, &upstream{proc: p, engine: e})
+		u := &upstream{engine: model()}
+		u.engine.Name = r.name
+		u.start(d.cluster, r, u.engine)
+		d.upstreams = append(d.upstreams, u)
 	}
 	d.gateways = []*proc{d.gateway("gw_1", "north"), d.gateway("gw_2", "south")}
 	d.awaitAll()
@@ -109,16 +142,16 @@
 	gateways  []*proc
 }
 
-func newBookings(t *testing.T, delay time.Duration, edits ...string) *bookings {
+func newBookings(t *testing.T, delay time.Duration, options ...option) *bookings {
 	t.Helper()
 	b := &bookings{cluster: newCluster(t)}
-	for i := 0; i+2 < len(edits); i += 3 {
-		b.edit(edits[i], edits[i+1], edits[i+2])
+	for _, o := range options {
+		o(b.cluster)
 	}
-	for _, r := range []engineRow{{"booking_1", "north"}, {"booking_2", "south"}, {"booking_3", "south"}} {
-		s := &standin.Booking{Delay: delay}
-		p := b.sidecar(r.name, r.dataCentre, b.serve(s))
-		b.upstreams = append(b.upstreams, &upstream{proc: p, booking: s})
+	for _, r := range threeBookings {
+		u := &upstream{booking: &standin.Booking{Delay: delay}}
+		u.start(b.cluster, r, u.booking)
+		b.upstreams = append(b.upstreams, u)
 	}
 	b.gateways = []*proc{b.gateway("gw_1", "north"), b.gateway("gw_2", "south")}
 	for _, u := range b.upstreams {
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -22,6 +22,7 @@
 
 // Data passes a part of the upstream's answer on.
 func (a *attempt) Data(p []byte, n table.Tokens) error {
+	a.heard.Store(time.Now().UnixNano())
 	a.noteFirstToken()
 	if a.answer != nil {
 		a.answer.Body = append(a.answer.Body, p...)
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -11,6 +12,9 @@
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
+// errSilent is why an attempt is given up whose upstream no longer answers.
+var errSilent = errors.New("upstream is silent and answers no question for its health")
+
 // followHealth asks the upstream for its health and tells the core of changes.
 func (s *Sidecar) followHealth(ctx context.Context) error {
 	ticker := time.NewTicker(healthInterval)
@@ -29,6 +33,9 @@
 		if err == nil || misses >= healthMisses {
 			s.noteHealth(h, err)
 		}
+		if misses >= healthMisses {
+			s.flights.giveUpSilent(time.Now())
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -124,34 +131,47 @@
 	return s.Suspects.Judge(time.Now(), o)
 }
 
-// flights holds the requests that the upstream runs.
+// flights holds the attempts that the upstream runs.
 type flights struct {
-	mu     sync.Mutex
-	offers map[*wire.Offer]bool
+	mu       sync.Mutex
+	attempts map[*attempt]bool
 }
 
-func (f *flights) begin(o *wire.Offer) {
+func (f *flights) begin(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.offers == nil {
-		f.offers = make(map[*wire.Offer]bool)
+	if f.attempts == nil {
+		f.attempts = make(map[*attempt]bool)
 	}
-	f.offers[o] = true
+	f.attempts[a] = true
 }
 
-func (f *flights) end(o *wire.Offer) {
+func (f *flights) end(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.offers, o)
+	delete(f.attempts, a)
 }
 
 // all gives what is in flight.
 func (f *flights) all() []*wire.Offer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := make([]*wire.Offer, 0, len(f.offers))
-	for o := range f.offers {
-		all = append(all, o)
+	all := make([]*wire.Offer, 0, len(f.attempts))
+	for a := range f.attempts {
+		all = append(all, a.offer)
 	}
 	return all
 }
+
+// giveUpSilent ends what an upstream that gives no sign of life has left
+// unanswered, so that gateways have it elsewhere. What must not repeat waits
+// for its deadline: nobody else may run it.
+func (f *flights) giveUpSilent(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range f.attempts {
+		if a.class.Idempotent && now.Sub(a.heardAt()) > silentAfter {
+			a.giveUp(errSilent)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -32,6 +32,9 @@
 	// healthMisses is how many answers in a row must be missing before the
 	// upstream counts as down.
 	healthMisses = 2
+	// silentAfter is how long an upstream that is down may have sent nothing of
+	// an answer before the answer is given up.
+	silentAfter  = 2 * time.Second
 	renewTimeout = 500 * time.Millisecond
 	// drainSettle is how long a draining sidecar still answers offers that
 	// were under way when it began to leave.
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/admission"
@@ -37,8 +39,14 @@
 	// forwarded is when the upstream was given the request.
 	forwarded  time.Time
 	firstToken bool
+	// heard is when the upstream last sent a part of the answer, in Unix
+	// nanoseconds; giveUp ends the call on it.
+	heard  atomic.Int64
+	giveUp context.CancelCauseFunc
 }
 
+func (a *attempt) heardAt() time.Time { return time.Unix(0, a.heard.Load()) }
+
 // Work is what the sidecar serves to gateways.
 type Work struct{ Sidecar *Sidecar }
 
@@ -251,10 +259,14 @@
 			return result.Errorf(result.Paused, "the claim may no longer stand")
 		}
 	}
-	a.sidecar.flights.begin(a.offer)
-	defer a.sidecar.flights.end(a.offer)
 	a.forwarded = time.Now()
-	outcome := a.forward(ctx)
+	a.heard.Store(a.forwarded.UnixNano())
+	var given context.Context
+	given, a.giveUp = context.WithCancelCause(ctx)
+	defer a.giveUp(nil)
+	a.sidecar.flights.begin(a)
+	defer a.sidecar.flights.end(a)
+	outcome := a.forward(given)
 	finished = a.finishedWith(ctx, outcome)
 	return a.conclude(outcome)
 }
@@ -271,7 +283,7 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), a.deadline.Add(finishGrace))
 		defer cancel()
 	}
-	return a.sidecar.Upstream.Do(ctx, engine.Request{
+	outcome := a.sidecar.Upstream.Do(ctx, engine.Request{
 		Method:       a.offer.Method,
 		Path:         a.offer.Path,
 		Header:       headerOf(a.offer.Headers),
@@ -281,6 +293,10 @@
 		Streamed:     a.offer.Streamed,
 		ResumeOffset: table.Tokens(a.offer.ResumeOffset),
 	}, a)
+	if !outcome.Complete && errors.Is(context.Cause(ctx), errSilent) {
+		outcome.Code, outcome.Detail = result.UpstreamTimeout, errSilent.Error()
+	}
+	return outcome
 }
 
 func (a *attempt) finishedWith(ctx context.Context, o engine.Outcome) admission.Finished {
