Grant nothing after a pause until what is known is renewed

Cause: a sidecar that noticed its own pause asked for a renewal, waited half a second for it and went on whether or not it had come. Woken in a partition it granted on its old table, though its data centre might long be out.

Ruled out: a longer wait in the admitter's own task, which would hold up the ends of what runs; a check at each offer alone, which leaves parked offers.

Change: a pause makes the core refuse all that does not run yet, with the code paused, until the renewal is done. The renewal has a task of its own, and only the one begun after the latest pause may end the refusal.

TestWokenAndCutOff failed first: the woken sidecar answered granted. It passes now, with the other four tests of frozen sidecars, which were green before.

--- /dev/null
+++ b/cmd/jasminewing/freeze_test.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// freeze stops the process and waits until none of its threads runs.
+func (p *proc) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid)
+	(&cluster{t: p.t}).await("freeze of "+string(p.vm.Name), func() bool {
+		stats, err := filepath.Glob(tasks)
+		assert.NilError(p.t, err)
+		for _, s := range stats {
+			text, err := os.ReadFile(s)
+			// The state follows the name in brackets.
+			if _, state, _ := strings.Cut(string(text), ") "); err != nil || !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return len(stats) > 0
+	})
+}
+
+// wake lets a frozen process go on.
+func (p *proc) wake() { p.signal(syscall.SIGCONT) }
+
+// A sidecar is frozen in the midst of answers and wakes long after: another
+// finishes them in time, and the woken one does them no harm.
+func TestSidecarFrozenMidAnswer(t *testing.T) {
+	t.Parallel()
+	d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{TokenGap: 20 * time.Millisecond} })
+	for _, streamed := range []bool{true, false} {
+		r := draft("frozen", 60, streamed)
+		q, u := d.beginAt(d.gateways[0], r)
+		u.freeze()
+		d.within("answer", time.Now(), cutBound, q.ended)
+		u.wake()
+		assertWhole(t, r, q.reply)
+		d.await("nothing runs", func() bool { return d.running() == nil })
+		d.awaitReady(u.proc)
+	}
+	d.awaitServing(draft("after", 2, true), d.gateways...)
+}
+
+// The home of a key is frozen past the deadline with the booking in flight,
+// and woken: the booking runs once.
+func TestHomeFrozenWithBooking(t *testing.T) {
+	t.Parallel()
+	b := newBookings(t, 300*time.Millisecond, withEdit("classes", "2s,,10s,2s", "1s,,3s,1s"))
+	r := book("pitch-1", "key-1")
+	q := b.gateways[0].begin(r)
+	home := b.home("pitch-1")
+	home.freeze()
+	<-q.done
+	assertRefused(t, q.reply, false, result.OutcomeUnknown)
+	got := b.gateways[1].send(r)
+	assert.Assert(t, got.status != 200 && !got.refusal().NotRun, "%d %s", got.status, got.body)
+	home.wake()
+	b.await("word on the key", func() bool {
+		got = b.gateways[1].send(r)
+		assert.Assert(t, !got.refusal().NotRun, "a false not run: %s", got.body)
+		return got.status == 200 || got.code() == result.KeyOutcomeUnknown
+	})
+	assert.Equal(t, b.runs("pitch-1"), 1)
+}
+
+// All sidecars of a service are frozen when bookings come, and woken after
+// their deadline: what callers were told was not run does not run then.
+func TestBookingOfferedToFrozen(t *testing.T) {
+	t.Parallel()
+	b := newBookings(t, 0, withEdit("classes", "2s,,10s,2s", "1s,,3s,1s"))
+	for _, u := range b.upstreams {
+		u.freeze()
+	}
+	// The first comes while the gateways still trust the last reports.
+	var all []*pending
+	for i := range 4 {
+		key := ""
+		if i%2 == 1 {
+			key = fmt.Sprint("key ", i)
+		}
+		all = append(all, b.gateways[i/2].begin(book(fmt.Sprint("pitch ", i), key)))
+	}
+	for i, q := range all {
+		<-q.done
+		assertRefused(t, q.reply, i%2 == 0, result.DeadlinePassed, result.SidecarUnreached, result.NoUpstream)
+	}
+	for _, u := range b.upstreams {
+		u.wake()
+	}
+	b.awaitServing(book("after", "after"), b.gateways...)
+	for i := range all {
+		assert.Equal(t, b.runs(fmt.Sprint("pitch ", i)), 0)
+	}
+}
+
+// A sidecar is frozen while operators take its data centre out. What gateways
+// offered it before is in its sockets when it wakes: none of it reaches its
+// engine, for the edit is older than a few seconds.
+func TestFrozenWhileDataCentreOut(t *testing.T) {
+	t.Parallel()
+	d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{} })
+	south := d.upstreams[1]
+	south.freeze()
+	before := south.engine.Stats().Started
+	var offered []*pending
+	for i := range 16 {
+		offered = append(offered, d.gateways[i%2].begin(draft(fmt.Sprint("offered ", i), 2, true)))
+	}
+	d.edit("data_centres", "south,demo,in", "south,demo,out")
+	edited := time.Now()
+	for _, q := range offered {
+		<-q.done
+		assertWhole(t, q.request, q.reply)
+	}
+	late := time.NewTimer(time.Until(edited.Add(outBound)))
+	<-late.C
+	south.wake()
+	d.await("the woken sidecar knows", func() bool {
+		got := d.gateways[0].send(draft("meanwhile", 1, false))
+		assert.Equal(t, got.status, 200, "%s", got.body)
+		return south.readiness() == result.DataCentreOut
+	})
+	assert.Equal(t, south.engine.Stats().Started, before, "new work after the data centre was out")
+}
+
+// A sidecar wakes cut off from everybody but a gateway with an old table. It
+// cannot know what changed meanwhile, so it grants nothing.
+func TestWokenAndCutOff(t *testing.T) {
+	t.Parallel()
+	d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{} })
+	south := d.upstreams[1]
+	for _, p := range append(d.gateways, d.upstreams[0].proc) {
+		p.freeze()
+	}
+	south.freeze()
+	d.config.SetDown(true)
+	d.vms.SetDown(true)
+	pause := time.NewTimer(1500 * time.Millisecond)
+	<-pause.C
+	before := south.engine.Stats().Started
+	south.wake()
+
+	m := offerTo(t, south, draft("old", 1, false))
+	refused := m.GetRefused()
+	assert.Assert(t, refused != nil, "the woken sidecar answered %v", m)
+	assert.Equal(t, result.Code(refused.Code), result.Paused)
+	assert.Assert(t, refused.NotRun)
+	assert.Equal(t, south.engine.Stats().Started, before)
+}
+
+// offerTo offers a request to a sidecar as a gateway would, and gives the
+// first word on it that is more than that it waits.
+func offerTo(t *testing.T, p *upstream, r request) *wire.SidecarMessage {
+	t.Helper()
+	dialer := &wire.Dialer{Secret: testSecret}
+	defer dialer.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	run, err := wire.NewDRPCWorkClient(dialer.To(string(p.vm.Address))).Run(ctx)
+	assert.NilError(t, err)
+	assert.NilError(t, run.Send(&wire.GatewayMessage{Kind: &wire.GatewayMessage_Offer{Offer: &wire.Offer{
+		RequestId: "req_0_1", Attempt: 1, Account: "market", Class: "booth_question", Tier: 1, Model: "draft",
+		Method: "POST", Path: r.path, BodyBytes: uint64(len(r.body)), Idempotent: true, CostTokens: 1,
+		TimeLeftUs: uint64(patience.Microseconds()), TableRevision: 1, VmListVersion: 1, Gateway: "gw_1",
+	}}}))
+	for {
+		m, err := run.Recv()
+		assert.NilError(t, err)
+		if m.GetParked() == nil {
+			return m
+		}
+	}
+}
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -35,6 +35,7 @@
 	down          bool
 	leaving       bool
 	dataCentreOut bool
+	paused        bool
 	sequence      uint64
 	// arrived is the offer that the present message brought.
 	arrived *offer
@@ -124,7 +125,10 @@
 		c.healthChanged(m)
 	case LeaveAsked:
 		c.changeRefusing(func() { c.leaving = true })
+	case PauseBegan:
+		c.changeRefusing(func() { c.paused = true })
 	case PauseEnded:
+		c.paused = false
 		c.turnCold()
 	case Ticked:
 	}
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -18,6 +18,8 @@
 		return result.UpstreamOut
 	case c.down:
 		return result.UpstreamUnhealthy
+	case c.paused:
+		return result.Paused
 	}
 	return result.OK
 }
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -84,6 +84,10 @@
 // LeaveAsked says that the VM list or a stop signal wants the upstream to leave.
 type LeaveAsked struct{}
 
+// PauseBegan says that this process was paused: what it knows may be old, so
+// that it refuses work until PauseEnded.
+type PauseBegan struct{}
+
 // PauseEnded says that this process was paused and has renewed what it knows.
 type PauseEnded struct{}
 
@@ -98,6 +102,7 @@
 func (Configured) message()     {}
 func (HealthChanged) message()  {}
 func (LeaveAsked) message()     {}
+func (PauseBegan) message()     {}
 func (PauseEnded) message()     {}
 func (Ticked) message()         {}
 
--- a/internal/sidecar/admitter.go
+++ b/internal/sidecar/admitter.go
@@ -26,19 +26,24 @@
 	effects chan admission.Effect
 	// accepted is set for a BodyCame and told whether the grant still stood.
 	accepted chan bool
+	// pause is set for a PauseEnded: which pause it ends.
+	pause int
 }
 
 // admitter is the task that owns the admission core.
 type admitter struct {
 	Core admission.Core
-	// Renew is called after a pause, before anything else is decided.
-	Renew func(ctx context.Context)
+	// Renew is called after a pause, in a task of its own. It calls ended once
+	// what this process knows is renewed and the core was told.
+	Renew func(ctx context.Context, ended func())
 	// Report is told of each new state.
 	Report func(admission.State)
 
 	inbox  chan letter
 	offers map[admission.OfferID]chan admission.Effect
 	last   time.Time
+	// pauses counts the pauses of this process.
+	pauses int
 	ids    atomic.Uint64
 	ended  chan struct{}
 }
@@ -70,9 +75,9 @@
 	}
 }
 
-// notice finds out whether this process was paused. If so, it first renews
-// what it knows: a grant on old knowledge could reach a data centre that
-// operators have taken out meanwhile.
+// notice finds out whether this process was paused. If so, the core refuses all
+// work until what it knows is renewed: a grant on old knowledge could reach a
+// data centre that operators have taken out meanwhile.
 func (a *admitter) notice(ctx context.Context) {
 	now := time.Now()
 	gap := now.Sub(a.last)
@@ -80,12 +85,17 @@
 	if gap < pauseGap {
 		return
 	}
-	a.Renew(ctx)
-	a.last = time.Now()
-	a.take(letter{message: admission.PauseEnded{}})
+	a.take(letter{message: admission.PauseBegan{}})
+	a.pauses++
+	pause := a.pauses
+	go a.Renew(ctx, func() { a.send(letter{message: admission.PauseEnded{}, pause: pause}) })
 }
 
 func (a *admitter) take(l letter) {
+	if _, ok := l.message.(admission.PauseEnded); ok && l.pause != a.pauses {
+		// Another pause came between the renewal and its word.
+		return
+	}
 	if o, ok := l.message.(admission.Offered); ok {
 		a.offers[o.ID] = l.effects
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,8 +34,7 @@
 	healthMisses = 2
 	// silentAfter is how long an upstream that is down may have sent nothing of
 	// an answer before the answer is given up.
-	silentAfter  = 2 * time.Second
-	renewTimeout = 500 * time.Millisecond
+	silentAfter = 2 * time.Second
 	// drainSettle is how long a draining sidecar still answers offers that
 	// were under way when it began to leave.
 	drainSettle = 500 * time.Millisecond
@@ -155,12 +154,17 @@
 	}
 }
 
-func (s *Sidecar) renewAfterPause(ctx context.Context) {
+// renewAfterPause tries until somebody was heard: a process that is cut off
+// cannot know what changed while it was paused.
+func (s *Sidecar) renewAfterPause(ctx context.Context, ended func()) {
 	s.Log.Write(event.PauseNoticed, "upstream", s.UpstreamName)
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
-	defer cancel()
-	_ = s.Fleet.Renew(ctx)
+	for s.Fleet.Renew(ctx) != nil {
+		if ctx.Err() != nil {
+			return
+		}
+	}
 	s.configure()
+	ended()
 }
 
 // followFleet tells the core of each change of its row, its data centre and
@@ -168,9 +172,7 @@
 func (s *Sidecar) followFleet(ctx context.Context) error {
 	changed := s.Fleet.Changed()
 	for {
-		for _, m := range s.configuration() {
-			s.admitter.tellCore(m)
-		}
+		s.configure()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -179,10 +181,9 @@
 	}
 }
 
-// configure is called by the admitter itself, which cannot send to itself.
 func (s *Sidecar) configure() {
 	for _, m := range s.configuration() {
-		s.admitter.take(letter{message: m})
+		s.admitter.tellCore(m)
 	}
 }
 
