Prove that no answer that ends half way is taken for whole

Nine ways in which an upstream's answer ends without its end mark, six ways in which a booking's answer is lost, and an engine that cuts what it runs: each caller gets a numbered error or its whole answer, and each booking runs at most once, also when its key is repeated.

--- /dev/null
+++ b/cmd/jasminewing/answer_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const oneEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"amber \"}}]}\n\n"
+
+// raw answers every completion with these bytes and then closes the
+// connection, while its health is good.
+func raw(answer string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			_, _ = io.WriteString(w, `{"status":"ok","instance":"raw-1"}`)
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, answer)
+		_ = c.Close()
+	})
+}
+
+// Every way in which an answer can end without being whole gives an error with
+// a number, or a stream that ends in one: never what a client takes for whole.
+func TestNoFalseWhole(t *testing.T) {
+	t.Parallel()
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	chunked := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	tests := []struct {
+		name     string
+		answer   string
+		streamed bool
+	}{
+		{"stream without an end mark", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunked(oneEvent) + "0\r\n\r\n", true},
+		{"stream cut at an event", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunked(oneEvent), true},
+		{"stream cut in an event", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunked(oneEvent[:20]), true},
+		{"stream ended by closing", stream + "Connection: close\r\n\r\n" + oneEvent + endMark + "\n\n", true},
+		{"stream that is no stream", "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 4\r\n\r\noops", true},
+		{"stream of bad events", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunked("data: {\"choices\":\n\n"+endMark+"\n\n") + "0\r\n\r\n", true},
+		{"answer cut half way", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 90\r\n\r\n{\"choices\":[]}", false},
+		{"answer ended by closing", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"choices\":[{\"message\":{}}]}", false},
+		{"no answer", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			sidecar := c.sidecar("draft_1", "north", c.serve(raw(tt.answer)))
+			gateway := c.gateway("gw_1", "north")
+			c.awaitReady(sidecar, gateway)
+			var got reply
+			c.await("an answer that came from the upstream", func() bool {
+				got = gateway.send(draft("half", 4, tt.streamed))
+				return got.code() != result.NoUpstream
+			})
+			assertRefused(t, got, false, result.UpstreamCutOff, result.UpstreamBadStream, result.AnswerAbandoned,
+				result.RetryBudget, result.SidecarLost)
+		})
+	}
+}
+
+// A booking's answer is lost in each way that its upstream knows: the caller
+// is told the truth, and the booking runs at most once.
+func TestBookingAnswerLost(t *testing.T) {
+	t.Parallel()
+	b := newBookings(t, 0)
+	tests := []struct {
+		action standin.Action
+		runs   int
+		notRun bool
+		codes  []result.Code
+	}{
+		{standin.CutBeforeRun, 0, false, []result.Code{result.OutcomeUnknown}},
+		{standin.CutAfterRun, 1, false, []result.Code{result.OutcomeUnknown}},
+		{standin.CutAnswer, 1, false, []result.Code{result.OutcomeUnknown}},
+		{standin.CloseDelimited, 1, false, []result.Code{result.OutcomeUnknown}},
+		{standin.Fail, 1, false, []result.Code{result.OutcomeUnknown}},
+		{standin.Refuse, 0, true, []result.Code{result.UpstreamRefused}},
+	}
+	for _, tt := range tests {
+		for _, u := range b.upstreams {
+			assert.NilError(t, u.booking.Control(tt.action, 0))
+		}
+		name := "pitch-" + string(tt.action)
+		assertRefused(t, b.gateways[0].send(book(name, "")), tt.notRun, tt.codes...)
+		assert.Equal(t, b.runs(name), tt.runs, "%s", tt.action)
+
+		keyed := "keyed-" + string(tt.action)
+		assertRefused(t, b.gateways[0].send(book(keyed, keyed)), false, tt.codes...)
+		for _, u := range b.upstreams {
+			assert.NilError(t, u.booking.Control(standin.Normal, 0))
+		}
+		// Only a booking that the upstream says it refused may run at the repeat.
+		got := b.gateways[1].send(book(keyed, keyed))
+		if tt.action == standin.Refuse {
+			assert.Assert(t, isBooking(got, keyed), "%d %s", got.status, got.body)
+		} else {
+			assertRefused(t, got, false, result.KeyOutcomeUnknown)
+		}
+		assert.Assert(t, b.runs(keyed) <= 1, "%s ran %d times", tt.action, b.runs(keyed))
+		b.awaitServing(book(name+"-after", name+"-after"), b.gateways...)
+	}
+}
+
+// An engine cuts all that it runs, again and again: each answer is whole in
+// the end, its own, and had from wherever it could be.
+func TestEngineCutsStreams(t *testing.T) {
+	t.Parallel()
+	d := newDrafts(t, threeEngines, func() *standin.Engine { return &standin.Engine{TokenGap: 10 * time.Millisecond} })
+	for i := range 3 {
+		for _, streamed := range []bool{true, false} {
+			r := draft(fmt.Sprintf("cut %d", i), 40, streamed)
+			q, u := d.beginAt(d.gateways[i%2], r)
+			assert.NilError(t, u.engine.Control(standin.CutStreams, 0))
+			<-q.done
+			assertWhole(t, r, q.reply)
+		}
+	}
+}
