Let a woken gateway not take its own sleep for its sidecars' silence

Cause: a gateway that was paused for longer than a sidecar may be silent found all last reports old when it woke, and gave up every answer under way. With more of them than the retry budget holds, the rest were cut off.

Ruled out: waiting for the fleet's renewal before silence is judged, which says nothing of each sidecar; a larger retry budget, which hides the waste.

Change: the pool notes a gap of a second in the calls of the gateway's own tasks, and measures silence from its end. Offers still go only to sidecars that were heard, so nothing new is sent on old reports.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -15,6 +15,10 @@
 // offered to and its attempts are given up.
 const SilentAfter = 1500 * time.Millisecond
 
+// pauseGap is the gap between calls on the pool that counts as a pause of the
+// gateway: reports come several times a second, as do checks for silence.
+const pauseGap = time.Second
+
 // Report is what a sidecar last said of itself.
 type Report struct {
 	Refusing    result.Code
@@ -70,6 +74,31 @@
 	// order fixes the order in which members are weighed.
 	order  []*Member
 	random *rand.Rand
+	// looked is the last time that the pool was told or asked of silence, and
+	// wokenAt when that was after a gap.
+	looked, wokenAt time.Time
+}
+
+// notePause finds a gap in the calls of this process's own tasks. Sidecars that
+// were not listened to meanwhile are not silent.
+func (p *Pool) notePause(now time.Time) {
+	if !p.looked.IsZero() && now.Sub(p.looked) > pauseGap {
+		p.wokenAt = now
+	}
+	p.looked = now
+}
+
+// silent says that a member has sent nothing for too long while this process
+// was listening.
+func (p *Pool) silent(now time.Time, m *Member) bool {
+	if m.Heard.IsZero() {
+		return true
+	}
+	since := m.Heard
+	if p.wokenAt.After(since) {
+		since = p.wokenAt
+	}
+	return now.Sub(since) > SilentAfter
 }
 
 // Set makes the pool hold these members, keeping reports of those that stay.
@@ -92,6 +121,7 @@
 // Hear takes a report.
 func (p *Pool) Hear(now time.Time, c Candidate, r Report) {
 	p.with(c, func(m *Member) {
+		p.notePause(now)
 		m.Report = r
 		m.Heard = now
 	})
@@ -126,8 +156,9 @@
 func (p *Pool) Silent(now time.Time, c Candidate) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.notePause(now)
 	m := p.members[c]
-	return m == nil || now.Sub(m.Heard) > SilentAfter
+	return m == nil || p.silent(now, m)
 }
 
 // Pick gives the candidate with the least load that serves what is asked and
