Let a suspect that did nothing have its answer all the same

Cause: three, seen when suspects were joined to the fault tests. A request with an idempotency key was sent to its home, which refused it because its place as a suspect was elsewhere: its repeats got no word at all. The place of a suspect could be the very upstream that had just died, so that its request failed with other upstreams free. And a request was named to its gateway as met by a death before the upstream was asked whether it had died at all.

Ruled out: a place by the table without upstreams that are down, on which gateways and sidecars would not agree; waiting for the dead upstream to come back, which may take longer than the class's deadline.

Change: with a key the home is the place. A suspect has a second place, which a gateway offers to only while the first takes no work. A lost answer ends, for its gateway and for the slot it held, once the upstream's health was asked; an upstream that gives none is down at once.

TestCutMidAnswer and TestCutMidBooking, both reset_between_sidecar_and_upstream, failed first: upstream_cut_off for an answer that another engine could give, and no word on the key in 20 s. What it costs: a gateway that cannot hear of the first place may run a suspect at the second beside another gateway's run at the first.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -161,6 +161,17 @@
 	return m == nil || p.silent(now, m)
 }
 
+// WhyNot gives the code of why a candidate is not offered to, OK if it is.
+func (p *Pool) WhyNot(now time.Time, c Candidate) result.Code {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[c]
+	if m == nil {
+		return result.SidecarUnreached
+	}
+	return m.WhyNot(now)
+}
+
 // Pick gives the candidate with the least load that serves what is asked and
 // takes work. Cold ones come after all others, for they bear only a little.
 func (p *Pool) Pick(now time.Time, kind table.UpstreamKind, s table.ServiceName, tried map[Candidate]bool) (Candidate, bool) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/booking"
@@ -113,22 +114,40 @@
 		home := booking.Order(booking.Key{Account: r.call.account.Name, Text: r.call.key}, members)
 		return untried(tried, home...)
 	case r.suspected:
-		place, ok := r.gateway.Suspects.Place(r.offer, v.Serving(r.call.class.Kind, r.call.service()))
-		if !ok {
-			return dispatch.Candidate{}, false
-		}
-		return untried(tried, place)
+		return r.pickPlace(now, v, tried)
 	default:
 		return r.gateway.pool.Pick(now, r.call.class.Kind, r.call.service(), tried)
 	}
 }
 
+// pickPlace gives the place of a suspect, or while that takes no work the next
+// one: a suspect is offered to one of them at a time.
+func (r *run) pickPlace(now time.Time, v *fleet.View, tried map[dispatch.Candidate]bool) (dispatch.Candidate, bool) {
+	vms := v.Serving(r.call.class.Kind, r.call.service())
+	first, ok := r.gateway.Suspects.Place(r.offer, vms)
+	if !ok {
+		return dispatch.Candidate{}, false
+	}
+	if c := candidate(first); r.gateway.pool.WhyNot(now, c) == result.OK {
+		return c, !tried[c]
+	}
+	vms = slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.Name == first.Name })
+	if second, ok := r.gateway.Suspects.Place(r.offer, vms); ok {
+		return untried(tried, second)
+	}
+	return untried(tried, first)
+}
+
+func candidate(vm fleet.VM) dispatch.Candidate {
+	return dispatch.Candidate{VM: vm.Name, Upstream: vm.Upstream, Address: vm.Address}
+}
+
 // untried gives the first VM as a candidate, unless it was tried.
 func untried(tried map[dispatch.Candidate]bool, vms ...fleet.VM) (dispatch.Candidate, bool) {
 	if len(vms) == 0 {
 		return dispatch.Candidate{}, false
 	}
-	c := dispatch.Candidate{VM: vms[0].Name, Upstream: vms[0].Upstream, Address: vms[0].Address}
+	c := candidate(vms[0])
 	return c, !tried[c]
 }
 
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,25 +97,31 @@
 	return s.health.Instance
 }
 
-// noteOutcome learns from how a run ended.
-func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome, suspected bool) {
+// noteOutcome learns from how a run ended, and names the death of the upstream
+// if that is how.
+func (s *Sidecar) noteOutcome(a *attempt, outcome engine.Outcome) (death fleet.Incarnation) {
 	switch {
 	case outcome.Died:
-		instance, inFlight := s.instance(), s.flights.all()
-		s.attempts.Go(func() { s.confirmDeath(instance, inFlight) })
-	case outcome.Complete && suspected:
-		s.Suspects.Clean(time.Now(), o)
+		return s.confirmDeath(a.instance, s.flights.all())
+	case outcome.Complete && a.suspected:
+		s.Suspects.Clean(time.Now(), a.offer)
 	}
+	return ""
 }
 
 // confirmDeath asks a lost upstream for its health: one that merely cut a
-// connection is still the same instance.
-func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) {
-	h, err := s.askHealth(context.Background())
+// connection is still the same instance. A slot is held meanwhile, so that the
+// next request does not meet an upstream that has just come back cold.
+func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) fleet.Incarnation {
+	ctx, cancel := context.WithTimeout(context.Background(), deathTimeout)
+	defer cancel()
+	h, err := s.Upstream.Health(ctx)
 	if err == nil && h.Instance == instance {
-		return
+		return ""
 	}
+	s.noteHealth(h, err)
 	s.noteDeath(instance, inFlight)
+	return s.deathOf(instance)
 }
 
 // noteDeath makes all that was in flight suspect. It may be told of the same
@@ -133,7 +140,8 @@
 }
 
 // suspicion says whether a request is suspected. A suspect has one place in
-// the fleet where it may run.
+// the fleet where it may run, and one more for while the first is down. With an
+// idempotency key its place is the key's home.
 func (s *Sidecar) suspicion(o *wire.Offer, c table.Class) (suspected bool, err error) {
 	suspected, err = s.Suspects.Judge(time.Now(), o)
 	if err != nil || !suspected {
@@ -143,11 +151,33 @@
 	if c.Kind == table.Plain {
 		service = c.Service
 	}
-	place, ok := s.Suspects.Place(o, s.Fleet.View().Serving(c.Kind, service))
-	if ok && place.Name != s.VM {
-		return true, result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
+	if keyed(o, c) {
+		return true, nil
+	}
+	for i, place := range s.places(o, c, service) {
+		if place.Name == s.VM {
+			return true, nil
+		}
+		if i == 0 {
+			err = result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
+		}
+	}
+	return true, err
+}
+
+// places gives the places of a suspect, the first one first.
+func (s *Sidecar) places(o *wire.Offer, c table.Class, service table.ServiceName) []fleet.VM {
+	vms := s.Fleet.View().Serving(c.Kind, service)
+	var places []fleet.VM
+	for range suspectPlaces {
+		place, ok := s.Suspects.Place(o, vms)
+		if !ok {
+			break
+		}
+		places = append(places, place)
+		vms = slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.Name == place.Name })
 	}
-	return true, nil
+	return places
 }
 
 // flights holds the attempts that the upstream runs.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -32,6 +32,12 @@
 	// healthMisses is how many answers in a row must be missing before the
 	// upstream counts as down.
 	healthMisses = 2
+	// deathTimeout is how long an upstream that lost a request may take to show
+	// that it still lives.
+	deathTimeout = 500 * time.Millisecond
+	// suspectPlaces is how many VMs may run a suspect; the second only while the
+	// first takes no work.
+	suspectPlaces = 2
 	// silentAfter is how long an upstream that is down may have sent nothing of
 	// an answer before the answer is given up.
 	silentAfter = 2 * time.Second
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -39,7 +39,9 @@
 	// suspected says that the request may have ended an upstream.
 	suspected bool
 	// forwarded is when the upstream was given the request.
-	forwarded  time.Time
+	forwarded time.Time
+	// instance is the upstream's when it was given the request.
+	instance   string
 	firstToken bool
 	// heard is when the upstream last sent a part of the answer, in Unix
 	// nanoseconds; giveUp ends the call on it.
@@ -127,7 +129,9 @@
 }
 
 // keyed holds where an idempotency key decides whether the request runs.
-func (a *attempt) keyed() bool { return a.offer.Key != "" && !a.class.Idempotent }
+func (a *attempt) keyed() bool { return keyed(a.offer, a.class) }
+
+func keyed(o *wire.Offer, c table.Class) bool { return o.Key != "" && !c.Idempotent }
 
 func (a *attempt) submit() {
 	weight := table.Weight(1)
@@ -263,6 +267,7 @@
 		}
 	}
 	a.forwarded = time.Now()
+	a.instance = a.sidecar.instance()
 	a.heard.Store(a.forwarded.UnixNano())
 	var given context.Context
 	given, a.giveUp = context.WithCancelCause(ctx)
@@ -314,7 +319,7 @@
 
 // conclude tells gateway and records how the run ended.
 func (a *attempt) conclude(o engine.Outcome) error {
-	a.sidecar.noteOutcome(a.offer, o, a.suspected)
+	death := a.sidecar.noteOutcome(a, o)
 	if a.answer != nil {
 		a.answer.Complete = o.Complete
 		a.sidecar.Keys.Finish(a.key, o, a.answer)
@@ -330,18 +335,10 @@
 		Code:      uint32(o.Code),
 		Detail:    o.Detail,
 		Tokens:    uint32(o.Tokens),
-		Death:     a.death(o),
+		Death:     string(death),
 	}}})
 }
 
-// death names the death of the upstream that the run may have met.
-func (a *attempt) death(o engine.Outcome) string {
-	if !o.Died {
-		return ""
-	}
-	return string(a.sidecar.deathOf(a.sidecar.instance()))
-}
-
 // replay gives the recorded answer of a key.
 func (a *attempt) replay(answer *wire.StoredAnswer) error {
 	if err := a.sendHead(int(answer.Status), answer.Headers); err != nil {
