Let a load be ended from outside

A test that stops a process under load knows only when it is done how long the load must last. RunUntil ends it on a channel; Run is as before.

--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -90,7 +90,10 @@
 }
 
 // Run sends the load and waits for the last answer or the end of ctx.
-func (l *Load) Run(ctx context.Context) (LoadReport, error) {
+func (l *Load) Run(ctx context.Context) (LoadReport, error) { return l.RunUntil(ctx, nil) }
+
+// RunUntil is Run, but sends nothing more once stop is closed.
+func (l *Load) RunUntil(ctx context.Context, stop <-chan struct{}) (LoadReport, error) {
 	if l.Rate <= 0 || l.Concurrency <= 0 || len(l.Mixes) == 0 {
 		return LoadReport{}, fmt.Errorf("run load: rate, concurrency and mixes must be set")
 	}
@@ -101,7 +104,7 @@
 	}
 	l.report = LoadReport{Classes: map[table.ClassName]*ClassReport{}, Codes: map[string]int{}}
 	start := time.Now()
-	l.send(ctx, start)
+	l.send(ctx, start, stop)
 	l.report.Seconds = time.Since(start).Seconds()
 	for _, c := range l.report.Classes {
 		c.sum(l.report.Seconds)
@@ -109,7 +112,7 @@
 	return l.report, nil
 }
 
-func (l *Load) send(ctx context.Context, start time.Time) {
+func (l *Load) send(ctx context.Context, start time.Time, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(l.Seed, l.Seed))
 	slots := make(chan struct{}, l.Concurrency)
 	var g sync.WaitGroup
@@ -117,7 +120,7 @@
 	due := start
 	for n := 0; ; n++ {
 		due = due.Add(time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second)))
-		if due.Sub(start) > l.Duration || !until(ctx, due) {
+		if due.Sub(start) > l.Duration || !until(ctx, due, stop) {
 			return
 		}
 		m := l.pick(random)
@@ -134,12 +137,14 @@
 	}
 }
 
-func until(ctx context.Context, due time.Time) bool {
+func until(ctx context.Context, due time.Time, stop <-chan struct{}) bool {
 	t := time.NewTimer(time.Until(due))
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return true
+	case <-stop:
+		return false
 	case <-ctx.Done():
 		return false
 	}
