Count attainment by class and usage by account for operators

Cause: operators cannot see how a class does lately or what a client account takes; accounts are too many to be labels of metrics. Change: windows of counts in the gateway, bounded by classes and accounts in use; a sheet of the table as it is in force; the values in force from the fleet's task; the JSON of errors moves to pkg/result so that operators get the same as callers. Ruled out: reading it back from the metrics' text, which has no window.

--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -82,6 +82,7 @@
 	group   *errgroup.Group
 	view    atomic.Pointer[View]
 	refused atomic.Pointer[[]Refusal]
+	inForce atomic.Pointer[map[string]Value]
 	// lastTick is in nanoseconds since start, so that it is monotonic.
 	lastTick atomic.Int64
 	digest   atomic.Uint64
@@ -149,6 +150,8 @@
 	}
 	rs := t.core.Refused()
 	t.refused.Store(&rs)
+	inForce := t.core.values.inForce
+	t.inForce.Store(&inForce)
 	t.digest.Store(t.core.values.digest)
 	// After the view, so that a pause is seen at one place or the other.
 	t.lastTick.Store(int64(now.Sub(t.start)))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -125,28 +125,8 @@
 	}
 }
 
-// errorBody is an error in the OpenAI shape, with what jasminewing adds.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message   string `json:"message"`
-	Type      string `json:"type"`
-	Code      int    `json:"code"`
-	NotRun    bool   `json:"not_run"`
-	RequestID string `json:"request_id"`
-}
-
 func (a *answer) errorJSON(f dispatch.Finish) []byte {
-	info := f.Code.Info()
-	message := info.Text
-	if a.detail != "" {
-		message += ": " + a.detail
-	}
-	b, err := json.Marshal(errorBody{errorDetail{
-		Message: message, Type: info.Name, Code: int(f.Code), NotRun: f.NotRun, RequestID: string(a.id),
-	}})
+	b, err := json.Marshal(f.Code.Answer(a.detail, f.NotRun, string(a.id)))
 	if err != nil {
 		return []byte(`{"error":{"type":"internal","code":6999}}`)
 	}
--- /dev/null
+++ b/internal/gateway/attainment_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAttainmentWindow(t *testing.T) {
+	start := time.Unix(1_000_000_000, 0)
+	var a attainments
+	for n := range 100 {
+		a.note(start, "booth_question", n < 90, time.Duration(n+1)*10*time.Millisecond)
+	}
+	a.note(start.Add(AttainmentWindow/2), "booth_question", false, 0)
+	got := a.recent(start.Add(AttainmentWindow / 2))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].All, 101)
+	assert.Equal(t, got[0].Met, 90)
+	// The true quantiles are 500 ms and 950 ms.
+	assert.Assert(t, got[0].FirstP50 >= 500*time.Millisecond && got[0].FirstP50 <= 625*time.Millisecond, "%s", got[0].FirstP50)
+	assert.Assert(t, got[0].FirstP95 >= 950*time.Millisecond && got[0].FirstP95 <= 1188*time.Millisecond, "%s", got[0].FirstP95)
+
+	later := a.recent(start.Add(AttainmentWindow + time.Second))
+	assert.Equal(t, later[0].All, 1, "old counts are still there")
+	assert.Equal(t, len(a.recent(start.Add(3*AttainmentWindow))), 0)
+	assert.Equal(t, len(a.classes), 0, "an idle class is kept")
+}
+
+func TestUsageWindow(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	g := &Gateway{}
+	u := &g.usages
+	u.begin(now, "market")
+	u.begin(now, "market")
+	u.end(now, "market", 40)
+	assert.Equal(t, g.UsageOf(now, "market"), Usage{InFlight: 1, Requests: 2, Tokens: 40})
+	now = now.Add(2 * UsageWindow)
+	u.begin(now, "other")
+	assert.Equal(t, g.UsageOf(now, "market"), Usage{InFlight: 1})
+	u.end(now, "market", 0)
+	now = now.Add(2 * UsageWindow)
+	u.begin(now, "other")
+	assert.Equal(t, len(u.accounts), 1, "an idle account is kept")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,14 +85,17 @@
 	// Seed fixes choices between equals.
 	Seed uint64
 
-	pool     dispatch.Pool
-	room     dispatch.Room
-	budget   dispatch.Budget
-	metrics  metricSet
-	traces   traces
-	inFlight atomic.Int64
-	draining atomic.Bool
-	ids      requestIDs
+	pool    dispatch.Pool
+	room    dispatch.Room
+	budget  dispatch.Budget
+	metrics metricSet
+	traces  traces
+	// attainments and usages are for operators.
+	attainments attainments
+	usages      usages
+	inFlight    atomic.Int64
+	draining    atomic.Bool
+	ids         requestIDs
 }
 
 // Init makes the gateway ready to serve.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -91,7 +91,11 @@
 		return
 	}
 	var used table.Tokens
-	defer func() { g.Quota.Done(time.Now(), c.account, used) }()
+	g.usages.begin(time.Now(), c.account.Name)
+	defer func() {
+		g.Quota.Done(time.Now(), c.account, used)
+		g.usages.end(time.Now(), c.account.Name, used)
+	}()
 	a.gaps = g.metrics.gap(c)
 	f, tokens := g.execute(r.Context(), c, a)
 	used = tokens
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,11 +14,13 @@
 // metricSet holds the gateway's metrics. Labels are classes, codes and
 // reasons only: client accounts are too many.
 type metricSet struct {
-	set *metrics.Set
+	set         *metrics.Set
+	attainments *attainments
 }
 
 func (m *metricSet) init(g *Gateway) {
 	m.set = metrics.NewSet()
+	m.attainments = &g.attainments
 	for _, i := range result.All() {
 		m.set.NewCounter(refusalName(i.Code))
 	}
@@ -59,14 +61,16 @@
 // its target.
 func (m *metricSet) finished(c *call, a *answer, f dispatch.Finish) {
 	m.refusal(f.Code)
+	var first time.Duration
 	if !a.firstByte.IsZero() {
-		first := a.firstByte.Sub(a.arrived)
+		first = a.firstByte.Sub(a.arrived)
 		m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_first_token_seconds{class=%q}", c.class.Name)).Update(first.Seconds())
 	}
 	met := "no"
-	if f.Code == result.OK && a.firstByte.Sub(a.arrived) <= c.class.FirstToken {
+	if f.Code == result.OK && first <= c.class.FirstToken {
 		met = "yes"
 	}
+	m.attainments.note(time.Now(), c.class.Name, met == "yes", first)
 	m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_requests_total{class=%q,met=%q}", c.class.Name, met)).Inc()
 }
 
--- /dev/null
+++ b/pkg/table/effective_test.go
@@ -0,0 +1,37 @@
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A sheet that is written as CSV and read again is the same table, so that an
+// operator can take what is in force as a start.
+func TestSheetIsTheTable(t *testing.T) {
+	for _, example := range []string{"pitchline", "ahmedabad"} {
+		var sections []Section
+		for _, name := range Sections() {
+			data, err := os.ReadFile(filepath.Join("../../examples", example, name+".csv"))
+			assert.NilError(t, err)
+			sections = append(sections, Section{Name: name, Data: data})
+		}
+		first, faults := Parse(sections)
+		assert.Equal(t, len(faults), 0, "%v", faults)
+		var again []Section
+		for _, name := range Sections() {
+			s, ok := first.Sheet(name)
+			assert.Assert(t, ok)
+			var b bytes.Buffer
+			assert.NilError(t, csv.NewWriter(&b).WriteAll(append([][]string{s.Columns}, s.Rows...)))
+			again = append(again, Section{Name: name, Data: b.Bytes()})
+		}
+		second, faults := Parse(again)
+		assert.Equal(t, len(faults), 0, "%v", faults)
+		assert.Equal(t, len(Diff(first, second)), 0, "%s", example)
+	}
+}
