Add the administration API and the command status

Cause: an operator could see readiness and metrics only, not why an upstream gets no work, which value is refused, or the path of a request. Change: package admin with status, effective table, upstreams with reasons, classes, accounts by page, recent requests and a dry run of a section; status prints it and its exit status says whether something asks for an operator. The admin listener answers errors as the callers' does; its token is compared by hash, and two Authorization headers are refused. Ruled out: accounts as labels of metrics, and any write: the platform keeps the configuration.

--- a/cmd/jasminewing/main.go
+++ b/cmd/jasminewing/main.go
@@ -47,6 +47,7 @@
 	gatewaySubcommand,
 	sidecarSubcommand,
 	demoSubcommand,
+	statusSubcommand,
 	checkSubcommand,
 	codesSubcommand,
 	eventsSubcommand,
--- /dev/null
+++ b/cmd/jasminewing/status.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"jasminewing.dev/jasminewing/internal/admin"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+//go:embed status_usage.txt
+var statusUsageText string
+
+var statusSubcommand = subcommand{
+	name:    "status",
+	summary: "say how a running process is, and why",
+	usage:   statusUsageText,
+	command: func(o output) flags.Commander { return &statusCommand{output: o} },
+}
+
+const (
+	statusTimeout = 5 * time.Second
+	// maxStatusBytes bounds what is read of an answer.
+	maxStatusBytes = 16 << 20
+)
+
+// statusCommand asks a process how it is.
+type statusCommand struct {
+	Admin fleet.Address  `long:"admin" value-name:"IP:PORT" default:"127.0.0.1:9401" description:"admin listener of the process"`
+	Token setting.Secret `long:"token" env:"JASMINEWING_ADMIN_TOKEN" value-name:"TOKEN" default-mask:"-" description:"bearer token of the administration API; better given in the environment"`
+	JSON  bool           `long:"json" description:"print JSON"`
+
+	output
+}
+
+// statusReport is all that is asked for. Upstreams and Classes are nil of a
+// sidecar, and of a gateway without a table.
+type statusReport struct {
+	Status    admin.Status     `json:"status"`
+	Upstreams *admin.Upstreams `json:"upstreams,omitempty"`
+	Classes   *admin.Classes   `json:"classes,omitempty"`
+}
+
+// Execute prints how the process is; its error says whether all is well.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var r statusReport
+	if err := c.ask(ctx, &r); err != nil {
+		writeError(c.stderr, fmt.Errorf("ask %s: %w", c.Admin, err))
+		return exitStatus(statusUsage)
+	}
+	if err := c.print(&r); err != nil {
+		return err
+	}
+	if !r.well() {
+		return exitStatus(statusFailed)
+	}
+	return nil
+}
+
+func (c *statusCommand) ask(ctx context.Context, r *statusReport) error {
+	if err := c.get(ctx, "/v1/status", &r.Status); err != nil {
+		return err
+	}
+	if r.Status.Load == nil || r.Status.TableRevision == 0 {
+		return nil
+	}
+	if err := c.get(ctx, "/v1/upstreams", &r.Upstreams); err != nil {
+		return err
+	}
+	return c.get(ctx, "/v1/classes", &r.Classes)
+}
+
+func (c *statusCommand) get(ctx context.Context, path string, into any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(c.Admin)+path, nil)
+	if err != nil {
+		return err
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+string(c.Token))
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	if err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusalOf(resp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	return nil
+}
+
+func refusalOf(status int, body []byte) error {
+	var a result.Answer
+	if json.Unmarshal(body, &a) == nil && a.Error.Code != 0 {
+		return fmt.Errorf("%d %s: %s", a.Error.Code, a.Error.Type, a.Error.Message)
+	}
+	return fmt.Errorf("HTTP status %d; is this an admin listener?", status)
+}
+
+// well says that nothing asks for an operator.
+func (r *statusReport) well() bool {
+	if !r.Status.Ready || len(r.Status.Refused) > 0 {
+		return false
+	}
+	if r.Upstreams == nil {
+		return true
+	}
+	for _, u := range r.Upstreams.Upstreams {
+		if !u.Offers {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *statusCommand) print(r *statusReport) error {
+	if c.JSON {
+		return writeJSON(c.stdout, r)
+	}
+	w := tabwriter.NewWriter(c.stdout, 0, 0, columnPadding, ' ', 0)
+	printProcess(w, &r.Status)
+	if r.Upstreams != nil {
+		printUpstreams(w, r.Upstreams)
+	}
+	if r.Classes != nil {
+		printClasses(w, r.Classes)
+	}
+	return w.Flush()
+}
+
+func printProcess(w io.Writer, s *admin.Status) {
+	fmt.Fprintf(w, "%s %s\t%s\n", s.Program, s.VM, readiness(s))
+	fmt.Fprintf(w, "table\trevision %d, confirmed %s\n", s.TableRevision, ageText(s.TableAgeMillis))
+	fmt.Fprintf(w, "VM list\tversion %d\n", s.VMListVersion)
+	if s.Load != nil {
+		fmt.Fprintf(w, "requests\t%d in flight, %d of them waiting\n", s.Load.InFlight, s.Load.Waiting)
+	}
+	if u := s.Upstream; u != nil {
+		fmt.Fprintf(w, "upstream %s\t%s, %d of %d in flight, %d parked%s\n",
+			u.Upstream, reasonText(u.Reason), u.InFlight, u.Limit, u.Parked, coldText(u.Cold))
+	}
+	for _, v := range s.Refused {
+		fmt.Fprintf(w, "refused\t%s revision %d, revision %d stays in force\n", v.Section, v.Revision, v.InForceRevision)
+		for _, f := range v.Faults {
+			fmt.Fprintf(w, "\t%s\n", f)
+		}
+	}
+}
+
+func readiness(s *admin.Status) string {
+	switch {
+	case s.Paused:
+		return "was paused and has heard from nobody since"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready: " + reasonText(s.Reason)
+	}
+}
+
+func printUpstreams(w io.Writer, us *admin.Upstreams) {
+	fmt.Fprintln(w, "\nUPSTREAM\tDATA CENTRE\tGETS WORK\tIN FLIGHT\tLIMIT\tPARKED\tLAST REPORT")
+	for _, u := range us.Upstreams {
+		work := "yes" + coldText(u.Cold)
+		if !u.Offers {
+			work = "no: " + reasonText(u.Reason)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n",
+			u.Upstream, u.DataCentre, work, u.InFlight, u.Limit, u.Parked, ageText(u.ReportAgeMillis))
+	}
+	if us.OutsideSubset > 0 {
+		fmt.Fprintf(w, "and %d that other gateways speak to\n", us.OutsideSubset)
+	}
+}
+
+func printClasses(w io.Writer, cs *admin.Classes) {
+	fmt.Fprintln(w, "\nCLASS\tTIER\tMET\tOF\tFIRST TOKEN P50\tP95\tTARGET")
+	for _, c := range cs.Classes {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%s\n", c.Class, c.Tier, c.Met, c.All,
+			millisText(c.FirstTokenP50), millisText(c.FirstTokenP95), millisText(c.FirstTokenTarget))
+	}
+}
+
+func reasonText(r admin.Reason) string {
+	if r.Code == result.OK {
+		return "taking work"
+	}
+	return fmt.Sprintf("%d %s (%s)", r.Code, r.Name, r.Code.Info().Text)
+}
+
+func coldText(cold bool) string {
+	if cold {
+		return ", cold"
+	}
+	return ""
+}
+
+func ageText(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return millisText(ms) + " ago"
+}
+
+func millisText(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
--- /dev/null
+++ b/internal/admin/traffic.go
@@ -0,0 +1,232 @@
+package admin
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/gateway"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// Sizes of pages.
+const (
+	defaultPage = 100
+	maxPage     = 500
+)
+
+// Upstreams is the answer of /v1/upstreams.
+type Upstreams struct {
+	Upstreams []UpstreamSeen `json:"upstreams"`
+	// OutsideSubset counts sidecars of the VM list that this gateway leaves to
+	// others.
+	OutsideSubset int `json:"outside_subset"`
+}
+
+// UpstreamSeen is an upstream as this gateway sees it.
+type UpstreamSeen struct {
+	Upstream   table.UpstreamName   `json:"upstream"`
+	DataCentre table.DataCentreName `json:"data_centre"`
+	// VM is empty for a row before which no sidecar of the VM list stands.
+	VM     fleet.VMName `json:"vm"`
+	Offers bool         `json:"offered_work"`
+	// Reason is why it is offered none; code 0 if it is.
+	Reason   Reason `json:"reason"`
+	Limit    int    `json:"limit"`
+	InFlight int    `json:"in_flight"`
+	Parked   int    `json:"parked"`
+	// Offered counts this gateway's own offers under way.
+	Offered int  `json:"offered"`
+	Cold    bool `json:"cold"`
+	// ReportAgeMillis is the age of the last report; -1 for none yet.
+	ReportAgeMillis int64 `json:"report_age_ms"`
+}
+
+func (a *API) serveUpstreams(w http.ResponseWriter, _ *http.Request) {
+	if t, ok := a.inForce(w); ok {
+		writeJSON(w, http.StatusOK, upstreams(a.now(), t, a.Fleet.View().VMs, a.Gateway.Members()))
+	}
+}
+
+func upstreams(now time.Time, t *table.Table, vms fleet.VMList, members []dispatch.Member) Upstreams {
+	u := Upstreams{Upstreams: []UpstreamSeen{}}
+	for _, m := range members {
+		u.Upstreams = append(u.Upstreams, memberSeen(now, m))
+	}
+	listed := make(map[table.UpstreamName]bool)
+	for _, vm := range vms.VMs {
+		if _, ok := t.Upstreams[vm.Upstream]; ok && vm.Role == fleet.Sidecar {
+			listed[vm.Upstream] = true
+			u.OutsideSubset++
+		}
+	}
+	u.OutsideSubset = max(u.OutsideSubset-len(members), 0)
+	for name, row := range t.Upstreams {
+		if !listed[name] {
+			u.Upstreams = append(u.Upstreams, unlisted(t, row))
+		}
+	}
+	slices.SortFunc(u.Upstreams, func(a, b UpstreamSeen) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.VM, b.VM))
+	})
+	return u
+}
+
+func memberSeen(now time.Time, m dispatch.Member) UpstreamSeen {
+	code := m.WhyNot(now)
+	s := UpstreamSeen{
+		Upstream: m.Candidate.Upstream, DataCentre: m.DataCentre, VM: m.Candidate.VM,
+		Offers: code == result.OK, Reason: reasonOf(code),
+		Limit: m.Report.Limit, InFlight: m.Report.InFlight, Parked: m.Report.Parked, Cold: m.Report.Cold,
+		Offered: m.Offered, ReportAgeMillis: -1,
+	}
+	if !m.Heard.IsZero() {
+		s.ReportAgeMillis = millis(now.Sub(m.Heard))
+	}
+	return s
+}
+
+// unlisted is a row whose upstream has no sidecar in the VM list.
+func unlisted(t *table.Table, row table.Upstream) UpstreamSeen {
+	code := t.WhyOut(row)
+	if code == result.OK {
+		code = result.SidecarUnreached
+	}
+	return UpstreamSeen{Upstream: row.Name, DataCentre: row.DataCentre, Reason: reasonOf(code), ReportAgeMillis: -1}
+}
+
+// Classes is the answer of /v1/classes.
+type Classes struct {
+	WindowSeconds float64     `json:"window_s"`
+	Classes       []ClassSeen `json:"classes"`
+}
+
+// ClassSeen is how a class did at this gateway within the window.
+type ClassSeen struct {
+	Class table.ClassName `json:"class"`
+	Tier  table.Tier      `json:"tier"`
+	All   int             `json:"all"`
+	Met   int             `json:"met"`
+	// Attainment is Met over All; null without requests.
+	Attainment       *float64 `json:"attainment"`
+	FirstTokenTarget int64    `json:"first_token_target_ms"`
+	FirstTokenP50    int64    `json:"first_token_p50_ms"`
+	FirstTokenP95    int64    `json:"first_token_p95_ms"`
+}
+
+func (a *API) serveClasses(w http.ResponseWriter, _ *http.Request) {
+	if t, ok := a.inForce(w); ok {
+		writeJSON(w, http.StatusOK, classes(t, a.Gateway.Attainments(a.now())))
+	}
+}
+
+func classes(t *table.Table, seen []gateway.Attainment) Classes {
+	byName := make(map[table.ClassName]gateway.Attainment, len(seen))
+	for _, s := range seen {
+		byName[s.Class] = s
+	}
+	cs := Classes{WindowSeconds: gateway.AttainmentWindow.Seconds(), Classes: []ClassSeen{}}
+	for name, c := range t.Classes {
+		s := byName[name]
+		row := ClassSeen{
+			Class: name, Tier: c.Tier, All: s.All, Met: s.Met, FirstTokenTarget: millis(c.FirstToken),
+			FirstTokenP50: millis(s.FirstP50), FirstTokenP95: millis(s.FirstP95),
+		}
+		if s.All > 0 {
+			share := float64(s.Met) / float64(s.All)
+			row.Attainment = &share
+		}
+		cs.Classes = append(cs.Classes, row)
+	}
+	slices.SortFunc(cs.Classes, func(a, b ClassSeen) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Class, b.Class))
+	})
+	return cs
+}
+
+// Accounts is the answer of /v1/accounts.
+type Accounts struct {
+	WindowSeconds float64       `json:"window_s"`
+	Accounts      []AccountSeen `json:"accounts"`
+	// Next is the value of after for the next page; empty for the last.
+	Next string `json:"next"`
+}
+
+// AccountSeen is what a client account takes at this gateway. Limits are those
+// of the whole fleet; zero for none.
+type AccountSeen struct {
+	Account           table.AccountName `json:"account"`
+	InFlight          int               `json:"in_flight"`
+	InFlightLimit     int               `json:"in_flight_limit"`
+	RequestsPerSecond float64           `json:"requests_per_second"`
+	RequestsLimit     float64           `json:"requests_per_second_limit"`
+	TokensPerMinute   table.Tokens      `json:"tokens_per_minute"`
+	TokensLimit       table.Tokens      `json:"tokens_per_minute_limit"`
+}
+
+func (a *API) serveAccounts(w http.ResponseWriter, r *http.Request) {
+	t, ok := a.inForce(w)
+	if !ok {
+		return
+	}
+	q := r.URL.Query()
+	writeJSON(w, http.StatusOK, a.accounts(t, q.Get("prefix"), table.AccountName(q.Get("after")), pageSize(q.Get("limit"))))
+}
+
+// pageSize holds what was asked for within bounds.
+func pageSize(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		return defaultPage
+	}
+	return min(n, maxPage)
+}
+
+func (a *API) accounts(t *table.Table, prefix string, after table.AccountName, size int) Accounts {
+	var names []table.AccountName
+	for n := range t.Accounts {
+		if strings.HasPrefix(string(n), prefix) && n > after {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	page := Accounts{WindowSeconds: gateway.UsageWindow.Seconds(), Accounts: []AccountSeen{}}
+	if len(names) > size {
+		names = names[:size]
+		page.Next = string(names[size-1])
+	}
+	for _, n := range names {
+		page.Accounts = append(page.Accounts, accountSeen(t.Accounts[n], a.Gateway.UsageOf(a.now(), n)))
+	}
+	return page
+}
+
+func accountSeen(row table.Account, u gateway.Usage) AccountSeen {
+	return AccountSeen{
+		Account:           row.Name,
+		InFlight:          u.InFlight,
+		InFlightLimit:     row.InFlight,
+		RequestsPerSecond: float64(u.Requests) / gateway.UsageWindow.Seconds(),
+		RequestsLimit:     row.RequestsPerSecond,
+		TokensPerMinute:   u.Tokens * table.Tokens(time.Minute/gateway.UsageWindow),
+		TokensLimit:       row.TokensPerMinute,
+	}
+}
+
+func (a *API) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["request_id"]
+	t, ok := a.Gateway.Trace(dispatch.RequestID(id))
+	if !ok {
+		Refuse(w, result.Errorf(result.NotFound, "this gateway has no recent request %q", id))
+		return
+	}
+	writeJSON(w, http.StatusOK, t)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -163,6 +163,7 @@
 // tell hands a message to the core and carries out its effects.
 func (r *run) tell(ctx context.Context, a arrival) {
 	r.last = a
+	r.traceArrival(a)
 	for _, e := range r.attempts.Handle(time.Now(), a.message) {
 		r.carryOut(ctx, e)
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -95,3 +95,26 @@
 	kept.Steps = append([]TraceStep(nil), t.Steps...)
 	return kept, true
 }
+
+// traceArrival notes how an attempt ended.
+func (r *run) traceArrival(a arrival) {
+	switch m := a.message.(type) {
+	case dispatch.Parked:
+		r.trace.step("parked", r.vmOf(m.Attempt), result.OK)
+	case dispatch.Refused:
+		r.trace.step("attempt_refused", r.vmOf(m.Attempt), m.Code)
+	case dispatch.Ended:
+		r.trace.step("attempt_ended", r.vmOf(m.Attempt), m.Code)
+	case dispatch.Lost:
+		r.trace.step("attempt_lost", r.vmOf(m.Attempt), result.SidecarLost)
+	case dispatch.Silent:
+		r.trace.step("attempt_silent", r.vmOf(m.Attempt), result.SidecarUnreached)
+	}
+}
+
+func (r *run) vmOf(n dispatch.AttemptNumber) fleet.VMName {
+	if s := r.streams[n]; s != nil {
+		return s.candidate.VM
+	}
+	return ""
+}
--- a/internal/process/admin.go
+++ b/internal/process/admin.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"crypto/sha256"
 	"crypto/subtle"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"jasminewing.dev/jasminewing/internal/admin"
 	"jasminewing.dev/jasminewing/internal/setting"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -22,8 +24,9 @@
 }
 
 // adminHandler serves operators and the collector of metrics.
-func adminHandler(token setting.Secret, p administered) http.Handler {
+func adminHandler(token setting.Secret, p administered, api *admin.API) http.Handler {
 	r := mux.NewRouter()
+	api.Register(r)
 	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if code := p.Ready(); code != result.OK {
 			http.Error(w, fmt.Sprintf("%d %s", code, code), http.StatusServiceUnavailable)
@@ -44,13 +47,20 @@
 	if token == "" {
 		return next
 	}
+	want := sha256.Sum256([]byte(token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(given), []byte(token)) != 1 {
-			info := result.BadAdminToken.Info()
-			http.Error(w, fmt.Sprintf("%d %s: %s", info.Code, info.Name, info.Text), info.Status)
+		values := r.Header.Values("Authorization")
+		if len(values) != 1 || !presents(values[0], want) {
+			admin.Refuse(w, result.Errorf(result.BadAdminToken, "one header Authorization: Bearer is expected"))
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// presents compares hashes, so that the time tells nothing, not even a length.
+func presents(authorization string, want [sha256.Size]byte) bool {
+	scheme, token, _ := strings.Cut(authorization, " ")
+	given := sha256.Sum256([]byte(token))
+	return strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(given[:], want[:]) == 1
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/fx"
 
+	"jasminewing.dev/jasminewing/internal/admin"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/gateway"
@@ -33,7 +34,7 @@
 	return fx.New(
 		options(p.Settings.StopLimit.Duration),
 		fx.Supply(p, p.Log, &p.Settings.Common),
-		fx.Provide(newDialer, newFleet, p.self, p.open, p.gateway),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.gateway, p.api),
 		fx.Invoke(p.run),
 	)
 }
@@ -83,7 +84,13 @@
 	return g
 }
 
-func (p *Gateway) run(lc fx.Lifecycle, gr *group, l *gatewayListeners, f *fleet.Task, g *gateway.Gateway) {
+func (p *Gateway) api(f *fleet.Task, g *gateway.Gateway, inc fleet.Incarnation) *admin.API {
+	return &admin.API{
+		Program: "gateway", VM: p.Settings.Name, Incarnation: inc, Fleet: f, Ready: g.Ready, Gateway: g,
+	}
+}
+
+func (p *Gateway) run(lc fx.Lifecycle, gr *group, l *gatewayListeners, f *fleet.Task, g *gateway.Gateway, api *admin.API) {
 	servePeers(lc, gr, l.peers, &wire.Server{
 		Secret: wire.Secret(p.Settings.FleetSecret),
 		Peer:   &peerServer{fleet: f},
@@ -93,7 +100,7 @@
 		gr.run(g.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
 	}))
-	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, g))
+	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, g, api))
 	s := serveHTTP(lc, gr, l.callers, g.Handler())
 	lc.Append(fx.StopHook(func(ctx context.Context) { p.drain(ctx, g, s) }))
 	p.Log.Write(event.Started, "program", "gateway", "vm", p.Settings.Name, "listen", l.callers.Addr(),
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"jasminewing.dev/jasminewing/internal/admin"
 	"jasminewing.dev/jasminewing/internal/booking"
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/event"
@@ -32,7 +33,7 @@
 	return fx.New(
 		options(p.Settings.StopLimit.Duration),
 		fx.Supply(p, p.Log, &p.Settings.Common),
-		fx.Provide(newDialer, newFleet, p.self, p.open, p.upstream, p.keys, p.sidecar),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.upstream, p.keys, p.sidecar, p.api),
 		fx.Invoke(p.run),
 	)
 }
@@ -95,7 +96,14 @@
 	return s
 }
 
-func (p *Sidecar) run(lc fx.Lifecycle, gr *group, l *sidecarListeners, f *fleet.Task, k *sidecar.Keys, s *sidecar.Sidecar) {
+func (p *Sidecar) api(f *fleet.Task, s *sidecar.Sidecar, inc fleet.Incarnation) *admin.API {
+	return &admin.API{
+		Program: "sidecar", VM: p.Settings.Name, Incarnation: inc, Fleet: f, Ready: s.Ready,
+		Upstream: s, UpstreamName: p.Settings.UpstreamName,
+	}
+}
+
+func (p *Sidecar) run(lc fx.Lifecycle, gr *group, l *sidecarListeners, f *fleet.Task, k *sidecar.Keys, s *sidecar.Sidecar, api *admin.API) {
 	servePeers(lc, gr, l.peers, &wire.Server{
 		Secret: wire.Secret(p.Settings.FleetSecret),
 		Work:   &sidecar.Work{Sidecar: s},
@@ -105,7 +113,7 @@
 		gr.run(f.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
 	}))
-	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, s))
+	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, s, api))
 	lc.Append(drainHook(gr, s))
 	p.Log.Write(event.Started, "program", "sidecar", "vm", p.Settings.Name, "upstream", p.Settings.UpstreamName,
 		"listen", l.peers.Addr(), "admin_listen", l.admin.Addr())
