Bound the wait for a body that never comes

Cause: a caller that announced a body and did not send it held its connection and goroutine for ever: net/http reads what a handler left unread before it answers, without a deadline. All six cases of TestSlowBody failed (no answer in five minutes), with a wrong key and at an unknown path too. Ruled out: the server's ReadTimeout, which also ends the wait for a hang-up while an answer runs. Change: a read deadline from the head on, lifted once the body was read whole; the rest of a refused body is waited for one second. Conclusion: the six cases pass, the refused ones within two seconds.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -142,6 +142,7 @@
 		h.Set("Retry-After", retryAfter(f.RetryAfter))
 	}
 	a.sent = true
+	leaveUnread(a.w)
 	status := info.Status
 	if status == http.StatusOK {
 		status = http.StatusInternalServerError
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -25,7 +25,10 @@
 	// maxKeyBytes is the most bytes of an idempotency key.
 	maxKeyBytes = 255
 	// bodyTimeout bounds how long a caller may take to send its body.
-	bodyTimeout      = 30 * time.Second
+	bodyTimeout = 30 * time.Second
+	// unreadTimeout bounds how long the rest of a refused body is waited for, so
+	// that a caller still sending sees the refusal rather than a reset.
+	unreadTimeout    = time.Second
 	fingerprintBytes = 16
 )
 
@@ -116,9 +119,6 @@
 }
 
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBody))
 	var large *http.MaxBytesError
 	switch {
@@ -127,6 +127,8 @@
 	case err != nil:
 		return nil, result.Errorf(result.BadBody, "read body: %w", err)
 	}
+	// From here on a read only waits for the caller to hang up.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,7 +45,7 @@
 	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall)
 	r.NotFoundHandler = g.refuseWith(result.NotFound)
 	r.MethodNotAllowedHandler = g.refuseWith(result.MethodNotAllowed)
-	return r
+	return bounded(r)
 }
 
 func (g *Gateway) refuseWith(code result.Code) http.Handler {
@@ -173,3 +173,22 @@
 	return result.OK, 0
 }
 func (noQuota) Done(time.Time, table.Account, table.Tokens) {}
+
+// bounded bounds how long a caller may take to send its body, whatever becomes
+// of the request: what a handler leaves unread, net/http reads before it
+// answers. A body that was read whole lifts the bound.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		now := time.Now()
+		_ = control.SetReadDeadline(now.Add(bodyTimeout))
+		_ = control.SetWriteDeadline(now.Add(bodyTimeout + writeTimeout))
+		next.ServeHTTP(w, r)
+		leaveUnread(w)
+	})
+}
+
+// leaveUnread gives what is unread of a body a last moment to come.
+func leaveUnread(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
+}
--- /dev/null
+++ b/internal/gateway/slow_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const testKey = "demo-key-market"
+
+// stillFleet is a view that does not change.
+type stillFleet struct{ view fleet.View }
+
+func (f *stillFleet) View() *fleet.View                                       { return &f.view }
+func (f *stillFleet) Changed() <-chan struct{}                                { return nil }
+func (f *stillFleet) Behind(table.Revision, fleet.ListVersion, fleet.Address) {}
+func (f *stillFleet) Renew(context.Context) error                             { return nil }
+
+// demoGateway is a gateway with the demo's table and no sidecar.
+func demoGateway(t *testing.T) *Gateway {
+	t.Helper()
+	var sections []table.Section
+	for _, name := range table.Sections() {
+		data, err := os.ReadFile(filepath.Join("../demo/table", name+".csv"))
+		assert.NilError(t, err)
+		sections = append(sections, table.Section{Name: name, Data: data, Revision: 1})
+	}
+	tab, faults := table.Parse(sections)
+	assert.Equal(t, len(faults), 0)
+	g := &Gateway{
+		Name: "gw_1", Fleet: &stillFleet{fleet.View{Table: tab, Ready: true}},
+		MaxBody: 64 << 10, MaxAnswer: 16 << 20, MaxWaiting: 8,
+	}
+	g.Init()
+	return g
+}
+
+// pipes is a listener of connections in memory, whose deadlines follow the
+// bubble's time.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{make(chan net.Conn), make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	close(p.closed)
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial() net.Conn {
+	caller, server := net.Pipe()
+	p.conns <- server
+	return caller
+}
+
+// serveInMemory serves within a bubble until the end function is called, which
+// wants no handler to be left.
+func serveInMemory(h http.Handler) (dial func() net.Conn, end func()) {
+	l := newPipes()
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(l)
+	}()
+	return l.dial, func() {
+		_ = s.Close()
+		<-ended
+		synctest.Wait()
+	}
+}
+
+// drip sends a byte a second until the other side has had enough.
+func drip(c net.Conn) {
+	for {
+		if _, err := c.Write([]byte("x")); err != nil {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// A caller whose body does not come is refused in bounded time, whatever it is
+// refused for, and its connection is closed.
+func TestSlowBody(t *testing.T) {
+	tests := []struct {
+		name, head string
+		dripped    bool
+		want       int
+		code       string
+	}{
+		{"good key, dripped", "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer " + testKey, true, 400, "2011"},
+		{"good key, silent", "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer " + testKey, false, 400, "2011"},
+		{"wrong key, silent", "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer wrong", false, 401, "2004"},
+		{"wrong key, dripped", "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer wrong", true, 401, "2004"},
+		{"no such path", "POST /v1/nothing HTTP/1.1", false, 404, "2008"},
+		{"models", "GET /v1/models HTTP/1.1\r\nAuthorization: Bearer " + testKey, false, 200, "draft"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var dripping sync.WaitGroup
+				defer dripping.Wait()
+				dial, end := serveInMemory(demoGateway(t).Handler())
+				defer end()
+				c := dial()
+				defer c.Close()
+				start := time.Now()
+				_ = c.SetDeadline(start.Add(5 * time.Minute))
+				_, err := io.WriteString(c, tt.head+"\r\nHost: x\r\nContent-Length: 1000\r\n\r\n")
+				assert.NilError(t, err)
+				if tt.dripped {
+					dripping.Go(func() { drip(c) })
+				}
+				r := bufio.NewReader(c)
+				resp, err := http.ReadResponse(r, nil)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, tt.want, "%s", body)
+				assert.Assert(t, strings.Contains(string(body), tt.code), "%s", body)
+				bound := bodyTimeout + 2*unreadTimeout
+				if tt.want != http.StatusBadRequest && tt.want != http.StatusOK {
+					bound = 2 * unreadTimeout
+				}
+				assert.Assert(t, time.Since(start) <= bound, "answered after %s", time.Since(start))
+				_, err = r.ReadByte()
+				assert.Equal(t, err, io.EOF, "connection is not closed")
+				assert.Assert(t, time.Since(start) <= 2*bodyTimeout, "closed after %s", time.Since(start))
+			})
+		})
+	}
+}
+
+// A connection that is used again after a while serves as a fresh one does.
+func TestConnectionUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := demoGateway(t)
+		dial, end := serveInMemory(g.Handler())
+		defer end()
+		c := dial()
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(time.Hour))
+		r := bufio.NewReader(c)
+		for _, path := range []string{"/v1/nothing", "/v1/models", "/v1/models"} {
+			_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", path, testKey)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err, path)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err, path)
+			time.Sleep(writeTimeout + time.Second)
+		}
+	})
+}
