Give slow callers their whole answer

Cause: an answer that is given whole had 30 s for all of it, so a slow caller of a large answer that read steadily was cut off (TestSlowReaderGetsAll: 4 MiB at 64 KiB/s, unexpected EOF); and the end of a stream was written under the deadline of the last part, so an end that came 30 s later was lost (TestLateEnd: unexpected EOF). Ruled out: no deadline at all, for a caller that reads nothing would hold its handler for ever (TestReaderGone). Change: parts of 64 KiB, each with its time, and fresh time for the end. Conclusion: both tests failed before and pass now.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,8 +13,12 @@
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
-// writeTimeout bounds how long a caller may take to accept a part of its answer.
-const writeTimeout = 30 * time.Second
+const (
+	// writeTimeout bounds how long a caller may take to accept a part of its answer.
+	writeTimeout = 30 * time.Second
+	// writePart is the most bytes of a part.
+	writePart = 64 << 10
+)
 
 // answer writes to a caller. A streamed answer goes out as it comes; any other
 // is kept until it is whole, so that it can be had anew.
@@ -93,24 +97,36 @@
 	a.w.WriteHeader(a.status)
 }
 
+// write gives each part its time, so that a slow caller that reads on gets all.
 func (a *answer) write(p []byte) {
-	if a.failed {
-		return
+	for len(p) > 0 && !a.failed {
+		n := min(len(p), writePart)
+		a.writeOne(p[:n])
+		p = p[n:]
 	}
-	control := http.NewResponseController(a.w)
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+func (a *answer) writeOne(p []byte) {
+	a.extend()
 	if _, err := a.w.Write(p); err != nil {
 		a.failed = true
 		return
 	}
 	if a.streamed {
-		a.failed = control.Flush() != nil
+		a.failed = http.NewResponseController(a.w).Flush() != nil
 	}
 }
 
+// extend gives the caller its time for what is written next.
+func (a *answer) extend() {
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // conclude ends the answer. An answer that was begun and cannot be finished is
 // ended with an error that no client can take for an end.
 func (a *answer) conclude(f dispatch.Finish) {
+	// net/http writes the end of what was sent after the handler returns.
+	a.extend()
 	switch {
 	case f.Code == result.OK && !a.streamed && a.failed:
 		a.fail(dispatch.Finish{Code: result.AnswerTooLarge})
--- /dev/null
+++ b/internal/gateway/slow_reader_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// serveAnswer answers the one call of a test within a bubble, with its deadlines.
+func serveAnswer(t *testing.T, streamed bool, give func(a *answer)) (caller net.Conn, end func(), took <-chan time.Duration) {
+	t.Helper()
+	done := make(chan time.Duration, 1)
+	dial, end := serveInMemory(bounded(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		start := time.Now()
+		defer func() { done <- time.Since(start) }()
+		a := &answer{w: w, id: "req_1", limit: 16 << 20, arrived: start, streamed: streamed}
+		a.takeHead(http.StatusOK, []*wire.Header{{Name: "Content-Type", Value: "text/plain"}})
+		give(a)
+	})))
+	caller = dial()
+	_ = caller.SetDeadline(time.Now().Add(time.Hour))
+	_, err := fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	return caller, end, done
+}
+
+// A caller that reads nothing holds its handler for a bounded time.
+func TestReaderGone(t *testing.T) {
+	for _, streamed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c, end, took := serveAnswer(t, streamed, func(a *answer) {
+				for range 100 {
+					a.takeData(make([]byte, 64<<10))
+				}
+				a.conclude(dispatch.Finish{})
+			})
+			defer end()
+			defer c.Close()
+			got := <-took
+			assert.Assert(t, got <= 2*writeTimeout, "streamed=%t: %s", streamed, got)
+		})
+	}
+}
+
+// A slow caller that reads on gets its whole answer, however long that takes.
+func TestSlowReaderGetsAll(t *testing.T) {
+	for _, streamed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const parts, part = 64, 64 << 10
+			c, end, _ := serveAnswer(t, streamed, func(a *answer) {
+				for range parts {
+					a.takeData(make([]byte, part))
+				}
+				a.conclude(dispatch.Finish{})
+			})
+			defer end()
+			defer c.Close()
+			resp, err := http.ReadResponse(bufio.NewReaderSize(c, 1<<10), nil)
+			assert.NilError(t, err)
+			total, buffer := 0, make([]byte, 16<<10)
+			for err == nil {
+				var n int
+				n, err = resp.Body.Read(buffer)
+				total += n
+				time.Sleep(time.Second / 4)
+			}
+			assert.Equal(t, err, io.EOF, "streamed=%t", streamed)
+			assert.Equal(t, total, parts*part)
+		})
+	}
+}
+
+// The end of a stream reaches its caller also when it comes long after the
+// last part.
+func TestLateEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end, _ := serveAnswer(t, true, func(a *answer) {
+			a.takeData([]byte("all"))
+			time.Sleep(2 * writeTimeout)
+			a.conclude(dispatch.Finish{})
+		})
+		defer end()
+		defer c.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "all")
+	})
+}
