Refuse paths that an upstream may read in another way, and two classes

Cause: /services/pitch_booking/%2e%2e/secret, ..%2f, ..;a=b and ..%5c went to the upstream as they came, which may read them as a path outside of what the class is for; TRACE went through too; a path with plain dots or empty segments was answered with a redirect, which makes a caller repeat a POST as a GET; of two headers Jasminewing-Class the first counted, and which one somebody before us reads is not ours to know. All were seen with the new transcript of callers' tricks before the change. Ruled out: cleaning the path, for a guess at what a caller meant is no answer before a service whose calls must not repeat. Conclusion: the transcript holds what reaches an upstream for 40 requests, smuggled lengths, hop-by-hop headers and Host among them; no goroutine is left.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -118,6 +118,19 @@
 	return k, nil
 }
 
+// classOf gives the class that a caller names, empty for none.
+func classOf(h http.Header) (table.ClassName, error) {
+	values := h.Values(classHeader)
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return table.ClassName(values[0]), nil
+	default:
+		return "", result.Errorf(result.BadHeader, "%d headers %s, one is expected", len(values), classHeader)
+	}
+}
+
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBody))
 	var large *http.MaxBytesError
@@ -145,9 +158,8 @@
 		return err
 	}
 	c.class = class
-	prefix := "/services/" + string(name)
-	c.path = "/" + strings.TrimPrefix(strings.TrimPrefix(c.path, prefix), "/")
-	return nil
+	c.path, err = servicePath(c.path, name)
+	return err
 }
 
 func (c *call) classifyCompletion(t *table.Table, r *http.Request) error {
@@ -166,7 +178,11 @@
 	if len(t.UpstreamsServing(table.Engine, c.model)) == 0 {
 		return result.Errorf(result.UnknownModel, "model %q", c.model)
 	}
-	class, err := t.ClassFor(c.account, table.Engine, table.ClassName(r.Header.Get(classHeader)))
+	explicit, err := classOf(r.Header)
+	if err != nil {
+		return err
+	}
+	class, err := t.ClassFor(c.account, table.Engine, explicit)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -36,13 +36,14 @@
 
 // Handler serves callers.
 func (g *Gateway) Handler() http.Handler {
-	r := mux.NewRouter()
+	r := mux.NewRouter().SkipClean(true)
 	r.UseEncodedPath()
 	r.HandleFunc("/v1/chat/completions", g.serveCall).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", g.serveCall).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", g.serveModels).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", g.serveReady).Methods(http.MethodGet)
-	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall)
+	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall).Methods(http.MethodGet, http.MethodHead,
+		http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions)
 	r.NotFoundHandler = g.refuseWith(result.NotFound)
 	r.MethodNotAllowedHandler = g.refuseWith(result.MethodNotAllowed)
 	return bounded(r)
