Test the fleet's listener with wrong secrets, slow preambles and large frames

Cause: nothing showed that a peer without the secret reaches no function, that a slow one is given up, or that a message over the limit hangs nothing. Ruled out: real waiting for the two seconds of the preamble; the bubble's time does. Change: tests only.

--- /dev/null
+++ b/internal/wire/transport_test.go
@@ -0,0 +1,236 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const (
+	patience   = 20 * time.Second
+	testSecret = Secret("a-secret-for-this-test")
+)
+
+// echo is a Work that takes an offer and answers each body with its size.
+type echo struct{ runs, ended atomic.Int64 }
+
+func (e *echo) Run(s DRPCWork_RunStream) error {
+	e.runs.Add(1)
+	defer e.ended.Add(1)
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		chunk := &Chunk{Tokens: uint32(len(m.GetBody().GetData()))}
+		if err := s.Send(&SidecarMessage{Kind: &SidecarMessage_Chunk{Chunk: chunk}}); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *echo) Watch(*WatchRequest, DRPCWork_WatchStream) error { return nil }
+
+// refusals notes what a server refused.
+type refusals struct {
+	mu    sync.Mutex
+	codes []result.Code
+}
+
+func (r *refusals) note(_ string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.codes = append(r.codes, result.CodeOf(err))
+}
+
+func (r *refusals) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.codes)
+}
+
+// serveTCP serves until the end function is called, which wants no goroutine to
+// be left.
+func serveTCP(t *testing.T) (address string, work *echo, refused *refusals, end func()) {
+	t.Helper()
+	before := runtime.NumGoroutine()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	work, refused = &echo{}, &refusals{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	s := &Server{Secret: testSecret, Work: work, Refused: refused.note}
+	go func() { ended <- s.Serve(ctx, l) }()
+	return l.Addr().String(), work, refused, func() {
+		cancel()
+		assert.NilError(t, <-ended)
+		await(t, "goroutines to end", func() bool { return runtime.NumGoroutine() <= before })
+	}
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	end := time.NewTimer(patience)
+	defer end.Stop()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for !holds() {
+		select {
+		case <-poll.C:
+		case <-end.C:
+			t.Fatalf("waited %s for: %s", patience, what)
+		}
+	}
+}
+
+func bodyOf(n int) *GatewayMessage {
+	return &GatewayMessage{Kind: &GatewayMessage_Body{Body: &Body{Data: make([]byte, n)}}}
+}
+
+// exchange sends a body and gives the size that the other side saw.
+func exchange(d *Dialer, address string, n int) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := NewDRPCWorkClient(d.To(address)).Run(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer s.Close()
+	if err := s.Send(bodyOf(n)); err != nil {
+		return 0, err
+	}
+	m, err := s.Recv()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return 0, ctx.Err()
+	}
+	return int(m.GetChunk().GetTokens()), err
+}
+
+// Who does not hold the secret reaches nothing, and the others are served on.
+func TestSecret(t *testing.T) {
+	address, work, refused, end := serveTCP(t)
+	defer end()
+	for _, secret := range []Secret{"", "another-secret-than-that", testSecret + "x", testSecret[:5]} {
+		d := &Dialer{Secret: secret}
+		_, err := exchange(d, address, 10)
+		assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded), "%q: %v", secret, err)
+		assert.NilError(t, d.Close())
+	}
+	await(t, "refusals", func() bool { return refused.count() == 4 })
+	for _, c := range refused.codes {
+		assert.Equal(t, c, result.BadSecret)
+	}
+	assert.Equal(t, work.runs.Load(), int64(0))
+
+	d := &Dialer{Secret: testSecret}
+	n, err := exchange(d, address, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 10)
+	assert.NilError(t, d.Close())
+}
+
+// A message over the limit, or what is no message, ends its connection and
+// hangs nothing; a message at the limit passes.
+func TestOversizedFrames(t *testing.T) {
+	address, work, _, end := serveTCP(t)
+	defer end()
+	d := &Dialer{Secret: testSecret}
+	n, err := exchange(d, address, MaxFrame-BodyPart)
+	assert.NilError(t, err)
+	assert.Equal(t, n, MaxFrame-BodyPart)
+	for _, size := range []int{MaxFrame + 1, 4 * MaxFrame} {
+		_, err = exchange(d, address, size)
+		assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded), "%d bytes: %v", size, err)
+	}
+	// 0xff ends no number, 0x00 is a message of an id that was, 0x02 begins a
+	// frame that is larger than the limit.
+	large := "\x02\x01\x01\xff\xff\xff\x7f" + strings.Repeat("x", 2*MaxFrame)
+	for _, sent := range []string{strings.Repeat("\xff", 100), strings.Repeat("\x00", 100), large} {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_ = c.SetDeadline(time.Now().Add(patience))
+		_, _ = c.Write(append(testSecret.preamble(), sent...))
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, err = io.Copy(io.Discard, c)
+		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err), "%q: %v", sent[:1], err)
+		assert.NilError(t, c.Close())
+	}
+	n, err = exchange(d, address, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 10)
+	assert.NilError(t, d.Close())
+	await(t, "runs to end", func() bool { return work.ended.Load() == work.runs.Load() })
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// onePipe is a listener of connections in memory.
+type onePipe struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *onePipe) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *onePipe) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func (p *onePipe) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A preamble that comes slowly, or not at all, is given up after its time, and
+// holds up nobody else meanwhile.
+func TestSlowPreamble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &onePipe{conns: make(chan net.Conn), closed: make(chan struct{})}
+		refused, work := &refusals{}, &echo{}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		s := &Server{Secret: testSecret, Work: work, Refused: refused.note}
+		go func() { ended <- s.Serve(ctx, l) }()
+		start := time.Now()
+		var slow sync.WaitGroup
+		for _, pause := range []time.Duration{time.Hour, 100 * time.Millisecond} {
+			c, server := net.Pipe()
+			l.conns <- server
+			slow.Go(func() {
+				for _, b := range testSecret.preamble() {
+					if _, err := c.Write([]byte{b}); err != nil {
+						return
+					}
+					time.Sleep(pause)
+				}
+			})
+		}
+		await(t, "refusals", func() bool { return refused.count() == 2 })
+		assert.Assert(t, time.Since(start) <= preambleTimeout+time.Millisecond, "%s", time.Since(start))
+		assert.Equal(t, work.runs.Load(), int64(0))
+		cancel()
+		assert.NilError(t, <-ended)
+		slow.Wait()
+	})
+}
