Bound slow senders on the admin listener

Cause: the admin listener waited for ever for a body that an operator's tool announced and did not send; with the callers' server in its place the case "admin, no body" of TestSlowSenders failed (i/o timeout after an hour of the bubble's time). Ruled out: the gateway's own deadlines, for a sidecar has no gateway. Change: the admin server has a time for the whole request and for its answer. Conclusion: heads are given up after 5 s on both, bodies of operators after 30 s.

--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,16 +99,16 @@
 		gr.run(g.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
 	}))
-	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, g, api))
-	s := serveHTTP(lc, gr, l.callers, g.Handler())
-	lc.Append(fx.StopHook(func(ctx context.Context) { p.drain(ctx, g, s) }))
+	serveHTTP(lc, gr, l.admin, newAdminServer(adminHandler(p.Settings.AdminToken, g, api)))
+	serveHTTP(lc, gr, l.callers, newServer(g.Handler()))
+	lc.Append(fx.StopHook(func(ctx context.Context) { p.drain(ctx, g) }))
 	p.Log.Write(event.Started, "program", "gateway", "vm", p.Settings.Name, "listen", l.callers.Addr(),
 		"peer_listen", l.peers.Addr(), "admin_listen", l.admin.Addr())
 }
 
 // drain makes readiness fail and goes on serving for the settle time, so that
 // what the balancer still sends is answered.
-func (p *Gateway) drain(ctx context.Context, g *gateway.Gateway, _ *http.Server) {
+func (p *Gateway) drain(ctx context.Context, g *gateway.Gateway) {
 	g.Drain()
 	settle := time.NewTimer(p.Settings.StopSettle.Duration)
 	defer settle.Stop()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -46,7 +46,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	startTimeout      = 10 * time.Second
+	// adminTimeout bounds how long an operator may take to send a request.
+	adminTimeout = 30 * time.Second
+	startTimeout = 10 * time.Second
 )
 
 // Run starts an app, waits for a signal or for the app's own end, stops it
@@ -191,15 +193,27 @@
 	return l, nil
 }
 
-// serveHTTP serves until the program stops, after which it lets requests in
-// flight end.
-func serveHTTP(lc fx.Lifecycle, g *group, l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{
+// newServer gives a server that waits for heads and idle connections for a
+// bounded time; the gateway bounds bodies and answers itself.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+}
+
+// newAdminServer bounds bodies and answers as well, which are short here.
+func newAdminServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.ReadTimeout, s.WriteTimeout = adminTimeout, 2*adminTimeout
+	return s
+}
+
+// serveHTTP serves until the program stops, after which it lets requests in
+// flight end.
+func serveHTTP(lc fx.Lifecycle, g *group, l net.Listener, s *http.Server) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			g.run(func(context.Context) error {
@@ -212,7 +226,6 @@
 		},
 		OnStop: s.Shutdown,
 	})
-	return s
 }
 
 // checkTable ends the program if its settings contradict the first table.
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -113,7 +113,7 @@
 		gr.run(f.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
 	}))
-	serveHTTP(lc, gr, l.admin, adminHandler(p.Settings.AdminToken, s, api))
+	serveHTTP(lc, gr, l.admin, newAdminServer(adminHandler(p.Settings.AdminToken, s, api)))
 	lc.Append(drainHook(gr, s))
 	p.Log.Write(event.Started, "program", "sidecar", "vm", p.Settings.Name, "upstream", p.Settings.UpstreamName,
 		"listen", l.peers.Addr(), "admin_listen", l.admin.Addr())
