--- /dev/null
+++ b/internal/admin/metrics.go
@@ -0,0 +1,44 @@
+package admin
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// WriteMetrics writes what both programs have in common, and at a gateway how
+// many upstreams get work or why not, in the Prometheus text format.
+func (a *API) WriteMetrics(w io.Writer) {
+	now := a.now()
+	s := a.status(now)
+	metrics.WriteGaugeUint64(w, "jasminewing_ready_code", uint64(s.Reason.Code))
+	metrics.WriteGaugeUint64(w, "jasminewing_table_revision", uint64(s.TableRevision))
+	metrics.WriteGaugeUint64(w, "jasminewing_vm_list_version", uint64(s.VMListVersion))
+	metrics.WriteGaugeUint64(w, "jasminewing_refused_values", uint64(len(s.Refused)))
+	if s.TableAgeMillis >= 0 {
+		metrics.WriteGaugeFloat64(w, "jasminewing_table_age_seconds", float64(s.TableAgeMillis)/1000)
+	}
+	if a.Gateway == nil {
+		return
+	}
+	counts := map[result.Code]uint64{result.OK: 0}
+	for _, m := range a.Gateway.Members() {
+		c := m.WhyNot(now)
+		if !c.Known() {
+			c = result.Internal
+		}
+		counts[c]++
+	}
+	codes := make([]result.Code, 0, len(counts))
+	for c := range counts {
+		codes = append(codes, c)
+	}
+	slices.Sort(codes)
+	for _, c := range codes {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("jasminewing_upstreams{code=%q,name=%q}", fmt.Sprint(int(c)), c), counts[c])
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,20 +24,12 @@
 	for _, i := range result.All() {
 		m.set.NewCounter(refusalName(i.Code))
 	}
+	m.set.NewCounter(refusalName(unknownCode))
 	for _, r := range dispatch.RetryReasons() {
 		m.set.NewCounter(retryName(r))
 	}
 	m.set.NewGauge("jasminewing_waiting_requests", func() float64 { return float64(g.room.Waiting()) })
 	m.set.NewGauge("jasminewing_requests_in_flight", func() float64 { return float64(g.InFlight()) })
-	m.set.NewGauge("jasminewing_table_revision", func() float64 {
-		if t := g.Fleet.View().Table; t != nil {
-			return float64(t.Revision)
-		}
-		return 0
-	})
-	m.set.NewGauge("jasminewing_table_age_seconds", func() float64 {
-		return time.Since(g.Fleet.View().ConfirmedAt).Seconds()
-	})
 }
 
 func refusalName(c result.Code) string {
@@ -48,7 +40,16 @@
 	return fmt.Sprintf("jasminewing_retries_total{reason=%q}", string(r))
 }
 
-func (m *metricSet) refusal(c result.Code) { m.set.GetOrCreateCounter(refusalName(c)).Inc() }
+// unknownCode counts codes that only other versions know, so that what a peer
+// sends makes no new labels.
+const unknownCode result.Code = -1
+
+func (m *metricSet) refusal(c result.Code) {
+	if !c.Known() {
+		c = unknownCode
+	}
+	m.set.GetOrCreateCounter(refusalName(c)).Inc()
+}
 
 func (m *metricSet) retry(r dispatch.RetryReason) { m.set.GetOrCreateCounter(retryName(r)).Inc() }
 
--- a/internal/process/admin.go
+++ b/internal/process/admin.go
@@ -36,6 +36,7 @@
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		p.WriteMetrics(w)
+		api.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	}).Methods(http.MethodGet)
 	return guard(token, r)
--- a/internal/process/edge_test.go
+++ b/internal/process/edge_test.go
@@ -79,9 +79,11 @@
 type small struct {
 	t                     *testing.T
 	callers, admin, peers string
-	upstreams             []*recorder
-	apps                  []*fx.App
-	servers               []*httptest.Server
+	// sidecarAdmin is the admin listener of the first sidecar.
+	sidecarAdmin string
+	upstreams    []*recorder
+	apps         []*fx.App
+	servers      []*httptest.Server
 }
 
 func startSmall(t *testing.T) *small {
@@ -129,11 +131,14 @@
 	r := &recorder{name: string(name), next: h}
 	s.upstreams = append(s.upstreams, r)
 	common.Name = fleet.VMName("vm_" + name)
-	l := s.listen()
+	l, admin := s.listen(), s.listen()
+	if s.sidecarAdmin == "" {
+		s.sidecarAdmin = admin.Addr().String()
+	}
 	p := &Sidecar{Settings: &setting.Sidecar{
 		Common: common, UpstreamName: name, UpstreamAddress: s.serve(r),
 		MaxParked: setting.Count{N: 8}, MaxKeys: setting.Count{N: 100},
-	}, Stderr: io.Discard, Peers: l, Admin: s.listen()}
+	}, Stderr: io.Discard, Peers: l, Admin: admin}
 	vms.Set(fleet.VM{
 		Name: common.Name, Role: fleet.Sidecar, DataCentre: "north", Upstream: name,
 		Address: fleet.Address(l.Addr().String()), State: fleet.Live,
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -27,6 +27,7 @@
 		{"jasminewing_upstream_limit", func() int { return s.State().Limit }},
 		{"jasminewing_upstream_in_flight", func() int { return s.State().InFlight }},
 		{"jasminewing_upstream_parked", func() int { return s.State().Parked }},
+		{"jasminewing_upstream_cold", func() int { return oneIf(s.State().Cold) }},
 		{"jasminewing_upstream_refusing_code", func() int { return int(s.State().Refusing) }},
 	}
 	for _, g := range gauges {
@@ -46,5 +47,12 @@
 
 func (m *metricSet) end(c result.Code) { m.set.GetOrCreateCounter(endName(c)).Inc() }
 
+func oneIf(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (s *Sidecar) WriteMetrics(w io.Writer) { s.metrics.set.WritePrometheus(w) }
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -172,6 +172,8 @@
 // String gives the code's name in snake case.
 func (c Code) String() string { return c.Info().Name }
 
+const unknownName = "unknown"
+
 // Info gives what the code means. An unknown code is described as internal.
 func (c Code) Info() Info {
 	for _, i := range infos {
@@ -179,8 +181,11 @@
 			return i
 		}
 	}
-	return Info{Code: c, Name: "unknown", Status: 500, Text: "a code this version does not know"}
+	return Info{Code: c, Name: unknownName, Status: 500, Text: "a code this version does not know"}
 }
 
+// Known says that this version knows the code.
+func (c Code) Known() bool { return c.Info().Name != unknownName }
+
 // All gives every code in the order of numbers.
 func All() []Info { return append([]Info(nil), infos...) }
