Log cold and warm upstreams; test that logs hold no secret

Cause: the catalogue had events for an upstream that turns cold or warm and nothing wrote them; that no line holds a body, key or secret was said and not shown. Change: the sidecar logs both changes, throttled; a session with failures of every kind is searched for eight secrets, among them a bearer key written by mistake into the column of hashes, and each line is held to the catalogue. Ruled out: a filter behind the logger, for it would hide what should not be written at all.

--- /dev/null
+++ b/cmd/jasminewing/logs_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/demo"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/standin"
+)
+
+// No log line of a session with failures of every kind holds a body, a key or a
+// secret, and each is JSON of a numbered event.
+func TestLogsHoldNoSecret(t *testing.T) {
+	const (
+		bodyText   = "vendor-words-7731"
+		answerText = "answer-words-7732"
+		wrongKey   = "wrong-bearer-7733"
+		idemKey    = "idempotency-7734"
+		adminToken = "admin-token-7735-x"
+		rawKey     = "raw-key-in-a-cell-7736"
+	)
+	c := newCluster(t)
+	engine := &standin.Engine{Name: "draft_1", Slots: 4, RestartAfter: 2 * time.Second}
+	booking := &standin.Booking{}
+	sidecars := []*proc{
+		c.sidecar("draft_1", "north", c.serve(engine), "--admin-token", adminToken),
+		c.sidecar("booking_1", "north", c.serve(booking)),
+		c.sidecar("booking_2", "south", c.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, answerText, http.StatusInternalServerError)
+		}))),
+	}
+	g := c.gateway("gw_1", "north")
+	c.awaitReady(g, sidecars[1])
+
+	const path, chat = "/services/pitch_booking/bookings?note=" + bodyText, "/v1/chat/completions"
+	body := `{"booking":"` + bodyText + `"}`
+	for n := range 8 {
+		c.send(g, request{path: path, body: body, key: fmt.Sprint(idemKey, "x", n)})
+	}
+	assert.NilError(t, booking.Control(standin.CutAfterRun, 0))
+	for n := range 8 {
+		c.send(g, request{path: path, body: body, key: fmt.Sprint(idemKey, "y", n)})
+	}
+	c.send(g, request{path: path, body: body, key: strings.Repeat(idemKey, 30)})
+	for _, r := range []request{
+		{path: chat, body: `{"model":"draft","max_tokens":3,"prompt":"` + bodyText + `"}`},
+		{path: chat, body: `{"model":"draft","max_tokens":3,"prompt":"` + standin.CrashText + bodyText + `"}`},
+		{path: chat, body: `{"model":"draft","prompt":` + bodyText},
+		{path: chat, body: `{"model":"draft"}`, bearer: wrongKey},
+		{path: "/v1/" + bodyText, body: body},
+	} {
+		c.send(g, r)
+	}
+	c.await("upstream down in the log", func() bool { return sidecars[0].event("upstream_down") != nil })
+	c.edit("accounts", "39cb60d95d4a938f06c6643886a58aec2e488ac1cd002c047219719e6d22b21c", rawKey)
+	c.await("refused table in the log", func() bool { return g.event("table_refused") != nil })
+	all := append([]*proc{g}, sidecars...)
+	for _, p := range all {
+		p.stop()
+	}
+
+	var text strings.Builder
+	for _, p := range all {
+		for _, l := range p.output() {
+			text.WriteString(l + "\n")
+			checkLine(t, l)
+		}
+	}
+	for _, secret := range []string{bodyText, answerText, wrongKey, idemKey, adminToken, rawKey, testSecret, demo.MarketKey} {
+		assert.Assert(t, !strings.Contains(text.String(), secret), "%s is in:\n%s", secret, text.String())
+	}
+	for _, name := range []string{"started", "request_failed", "key_unknown", "table_refused", "upstream_down", "upstream_cold", "stopped"} {
+		assert.Assert(t, strings.Contains(text.String(), `"name":"`+name+`"`), "no line of %s:\n%s", name, text.String())
+	}
+}
+
+// send sends a request for what it leaves in the logs.
+func (c *cluster) send(g *proc, r request) {
+	got := g.send(r)
+	c.t.Logf("%s: %d %d %v", r.path, got.status, got.code(), got.err)
+}
+
+// checkLine wants a line to be JSON of an event of the catalogue.
+func checkLine(t *testing.T, line string) {
+	t.Helper()
+	var l struct {
+		Time  time.Time    `json:"time"`
+		Level string       `json:"level"`
+		Text  string       `json:"msg"`
+		Event event.Number `json:"event"`
+		Name  string       `json:"name"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(line), &l), line)
+	e := l.Event.Entry()
+	assert.Equal(t, l.Name, e.Name, line)
+	assert.Equal(t, l.Text, e.Text, line)
+	assert.Equal(t, l.Level, [...]string{"info", "warn", "error"}[e.Level], line)
+	assert.Equal(t, l.Time.Location(), time.UTC, line)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -93,7 +93,7 @@
 func (s *Sidecar) Init() {
 	s.started = time.Now()
 	s.admitter.Core = admission.Core{MaxParked: s.MaxParked}
-	s.admitter.Report = s.reports.set
+	s.admitter.Report = s.noteState
 	s.admitter.Renew = s.renewAfterPause
 	s.admitter.init()
 	s.metrics.init(s)
