--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/wire"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
@@ -28,8 +29,7 @@
 	bodyTimeout = 30 * time.Second
 	// unreadTimeout bounds how long the rest of a refused body is waited for, so
 	// that a caller still sending sees the refusal rather than a reset.
-	unreadTimeout    = time.Second
-	fingerprintBytes = 16
+	unreadTimeout = time.Second
 )
 
 // call is a caller's request that was understood.
@@ -205,15 +205,6 @@
 // keyed holds where an idempotency key decides whether the request runs.
 func (c *call) keyed() bool { return c.key != "" && !c.class.Idempotent }
 
-// fingerprint names the request across repeats by its caller.
-func (c *call) fingerprint() []byte {
-	h := sha256.New()
-	h.Write([]byte(c.account.Name))
-	h.Write([]byte{0})
-	h.Write(c.bodyHash[:])
-	return h.Sum(nil)[:fingerprintBytes]
-}
-
 // offer gives the message that is the same for every attempt but for number
 // and times.
 func (c *call) offer(gateway string) *wire.Offer {
@@ -224,7 +215,7 @@
 		Tier:          uint32(c.class.Tier),
 		CostTokens:    uint32(c.class.MaxTokens),
 		TableRevision: uint64(c.revision),
-		Fingerprint:   c.fingerprint(),
+		Fingerprint:   []byte(suspect.FingerprintOf(c.account.Name, c.bodyHash[:])),
 		Key:           c.key,
 		BodyHash:      c.bodyHash[:],
 		Idempotent:    c.class.Idempotent,
