--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,28 +14,22 @@
 // metricSet holds the gateway's metrics. Labels are classes, codes and
 // reasons only: client accounts are too many.
 type metricSet struct {
-	set *metrics.Set
+	set         *metrics.Set
+	attainments *attainments
 }
 
 func (m *metricSet) init(g *Gateway) {
 	m.set = metrics.NewSet()
+	m.attainments = &g.attainments
 	for _, i := range result.All() {
 		m.set.NewCounter(refusalName(i.Code))
 	}
+	m.set.NewCounter(refusalName(unknownCode))
 	for _, r := range dispatch.RetryReasons() {
 		m.set.NewCounter(retryName(r))
 	}
 	m.set.NewGauge("jasminewing_waiting_requests", func() float64 { return float64(g.room.Waiting()) })
 	m.set.NewGauge("jasminewing_requests_in_flight", func() float64 { return float64(g.InFlight()) })
-	m.set.NewGauge("jasminewing_table_revision", func() float64 {
-		if t := g.Fleet.View().Table; t != nil {
-			return float64(t.Revision)
-		}
-		return 0
-	})
-	m.set.NewGauge("jasminewing_table_age_seconds", func() float64 {
-		return time.Since(g.Fleet.View().ConfirmedAt).Seconds()
-	})
 }
 
 func refusalName(c result.Code) string {
@@ -46,7 +40,16 @@
 	return fmt.Sprintf("jasminewing_retries_total{reason=%q}", string(r))
 }
 
-func (m *metricSet) refusal(c result.Code) { m.set.GetOrCreateCounter(refusalName(c)).Inc() }
+// unknownCode counts codes that only other versions know, so that what a peer
+// sends makes no new labels.
+const unknownCode result.Code = -1
+
+func (m *metricSet) refusal(c result.Code) {
+	if !c.Known() {
+		c = unknownCode
+	}
+	m.set.GetOrCreateCounter(refusalName(c)).Inc()
+}
 
 func (m *metricSet) retry(r dispatch.RetryReason) { m.set.GetOrCreateCounter(retryName(r)).Inc() }
 
@@ -59,14 +62,16 @@
 // its target.
 func (m *metricSet) finished(c *call, a *answer, f dispatch.Finish) {
 	m.refusal(f.Code)
+	var first time.Duration
 	if !a.firstByte.IsZero() {
-		first := a.firstByte.Sub(a.arrived)
+		first = a.firstByte.Sub(a.arrived)
 		m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_first_token_seconds{class=%q}", c.class.Name)).Update(first.Seconds())
 	}
 	met := "no"
-	if f.Code == result.OK && a.firstByte.Sub(a.arrived) <= c.class.FirstToken {
+	if f.Code == result.OK && first <= c.class.FirstToken {
 		met = "yes"
 	}
+	m.attainments.note(time.Now(), c.class.Name, met == "yes", first)
 	m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_requests_total{class=%q,met=%q}", c.class.Name, met)).Inc()
 }
 
