Let the hold of gateways grow with their number

Cause: with one hold of 150 s a gateway that replaces a crashed one took no part for three minutes while the VM list still showed the dead one, also where there are three gateways. Ruled out: a short hold for all; at 350 a round of questions takes 70 s. Change: 10 s and 0.4 s for each gateway. Conclusion: 14 s at three gateways, 187 s at 350, only if one does not answer.

--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -37,8 +37,8 @@
 // fields before use. It is for one task.
 type Core struct {
 	Self fleet.VMName
-	// Hold is how long a gateway that nobody hears of is counted; zero for
-	// DefaultHold.
+	// Hold is how long a gateway that nobody hears of is counted; zero for 10 s
+	// and 0.4 s for each gateway.
 	Hold time.Duration
 
 	members  members
@@ -51,10 +51,7 @@
 		return
 	}
 	c.accounts = make(map[table.AccountName]*account)
-	c.members.hold = c.Hold
-	if c.Hold == 0 {
-		c.members.hold = DefaultHold
-	}
+	c.members.fixed = c.Hold
 	c.members.init(now)
 }
 
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -7,9 +7,12 @@
 	"jasminewing.dev/jasminewing/internal/fleet"
 )
 
-// DefaultHold is how long a gateway that nobody hears of is still counted. A
-// round of questions among 350 gateways fits into it twice.
-const DefaultHold = 150 * time.Second
+// A gateway that nobody hears of is still counted for a hold. Two rounds of
+// questions among the gateways fit into it.
+const (
+	leastHold      = 10 * time.Second
+	holdPerGateway = 2 * askInterval
+)
 
 // members are the gateways that limits are divided by.
 //
@@ -18,7 +21,8 @@
 // majority of the others for a hold is apart and takes half of its share, as
 // others may by then have joined or closed ranks without it.
 type members struct {
-	hold time.Duration
+	// fixed is the hold, if it is set.
+	fixed time.Duration
 
 	started   time.Time
 	listed    map[fleet.VMName]bool
@@ -46,6 +50,13 @@
 	m.counting = make(map[fleet.VMName]bool)
 }
 
+func (m *members) hold() time.Duration {
+	if m.fixed > 0 {
+		return m.fixed
+	}
+	return leastHold + time.Duration(len(m.sorted))*holdPerGateway
+}
+
 // list takes the gateways of the VM list, and when the platform was last heard.
 func (m *members) list(now time.Time, self fleet.VMName, names []fleet.VMName, confirmed time.Time) {
 	m.listed = make(map[fleet.VMName]bool, len(names))
@@ -60,9 +71,10 @@
 
 // refresh forgets gateways that nobody has heard of for a hold.
 func (m *members) refresh(now time.Time, self fleet.VMName) {
+	hold := m.hold()
 	names := make([]fleet.VMName, 0, len(m.lastSeen))
 	for n, seen := range m.lastSeen {
-		if n != self && !m.listed[n] && now.Sub(seen) >= m.hold {
+		if n != self && !m.listed[n] && now.Sub(seen) >= hold {
 			delete(m.lastSeen, n)
 			delete(m.heard, n)
 			delete(m.counting, n)
@@ -84,7 +96,7 @@
 	}
 	// Those that do not answer lost touch a round of questions after the start
 	// at the latest, and must be apart by now.
-	wait := m.hold + m.hold/4
+	wait := m.hold() + m.hold()/4
 	if len(m.waiting(self)) > 0 && (now.Sub(m.started) < wait || m.apart(now, self)) {
 		return
 	}
@@ -122,12 +134,12 @@
 // apart says that this gateway heard neither of the platform nor of the
 // majority of the gateways for a hold.
 func (m *members) apart(now time.Time, self fleet.VMName) bool {
-	if now.Sub(m.confirmed) < m.hold {
+	if now.Sub(m.confirmed) < m.hold() {
 		return false
 	}
 	near := 1
 	for _, n := range m.sorted {
-		if h, ok := m.heard[n]; ok && n != self && now.Sub(h) < m.hold {
+		if h, ok := m.heard[n]; ok && n != self && now.Sub(h) < m.hold() {
 			near++
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -285,3 +285,8 @@
 	}
 	assert.Assert(t, len(c.accounts) < 2*sweepEvery, "%d", len(c.accounts))
 }
+
+func TestHold(t *testing.T) {
+	assert.Equal(t, (&members{sorted: names(3)}).hold(), 11200*time.Millisecond)
+	assert.Equal(t, (&members{sorted: names(350)}).hold(), 150*time.Second)
+}
