Let a gateway that is apart join after its wait

Cause: a gateway that starts while the platform is down and the others on its list are dead was apart for ever, so never took part and never got ready. Ruled out: joining with a whole share; the others may live on out of reach. Change: it joins after a hold and a quarter and takes half a share while apart. Conclusion: TestJoiningApart, red before the change; the bound says what it costs: up to one and a half limits.

--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -97,7 +97,7 @@
 	// Those that do not answer lost touch a round of questions after the start
 	// at the latest, and must be apart by now.
 	wait := m.hold() + m.hold()/4
-	if len(m.waiting(self)) > 0 && (now.Sub(m.started) < wait || m.apart(now, self)) {
+	if len(m.waiting(self)) > 0 && now.Sub(m.started) < wait {
 		return
 	}
 	m.joined, m.joinedAt = true, now
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -261,6 +261,23 @@
 	assert.Assert(t, c.Joined(), "the other did not answer for a hold")
 }
 
+// The platform goes away, then the other gateway dies; the one that takes its
+// place is ready after the wait, with half a share.
+func TestJoiningApart(t *testing.T) {
+	g := newGroup()
+	g.start("vm_0")
+	g.start("vm_1")
+	g.views["vm_1"] = g.list
+	g.kill("vm_0")
+	g.noList = func(fleet.VMName) bool { return true }
+	for range 40 {
+		g.step()
+	}
+	assert.Assert(t, g.cores["vm_1"].Joined())
+	n := g.flood(table.Account{Name: "large", InFlight: 40}, 0)
+	assert.Assert(t, n > 0 && n <= 20, "%d", n)
+}
+
 // An account with fewer units than gateways is held by as many gateways, and
 // one that is idle takes no memory.
 func TestSmallAndIdle(t *testing.T) {
