--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -1,10 +1,10 @@
 // Package quota keeps client accounts within their limits over all gateways,
 // without a word between gateways for a request.
 //
-// A limit is cut into units, and each unit belongs to the gateway that is
-// first by rendezvous hash among those that a gateway counts. While every
-// gateway that takes part counts every other, no unit is held twice, whatever
-// else their views differ in. See docs/design/quota.md for the bound.
+// A limit is cut into units. Most are divided evenly among the gateways that a
+// gateway counts; each of the rest belongs to the first of them by rendezvous
+// hash. While every gateway that takes part counts every other, the sum stays
+// within the limit, whatever else their views differ in. See docs/design/quota.md for the bound.
 //
 // # Usage
 //
@@ -37,8 +37,8 @@
 // fields before use. It is for one task.
 type Core struct {
 	Self fleet.VMName
-	// Hold is how long a gateway that nobody hears of is counted; zero for
-	// DefaultHold.
+	// Hold is how long a gateway that nobody hears of is counted; zero for 10 s
+	// and 0.4 s for each gateway.
 	Hold time.Duration
 
 	members  members
@@ -51,10 +51,7 @@
 		return
 	}
 	c.accounts = make(map[table.AccountName]*account)
-	c.members.hold = c.Hold
-	if c.Hold == 0 {
-		c.members.hold = DefaultHold
-	}
+	c.members.fixed = c.Hold
 	c.members.init(now)
 }
 
