Let a gateway take part once a burst's worth is refilled

Cause: a gateway that had just joined refused eight of twelve first requests with account_rate, in the test of a graceful stop under load: its buckets begin empty, and it was ready at once. Ruled out: buckets that begin full, since a predecessor may have spent the same. Change: it takes part, and is ready, a second after the last answer that it waited for.

--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -12,6 +12,9 @@
 const (
 	leastHold      = 10 * time.Second
 	holdPerGateway = 2 * askInterval
+	// settleTime passes between the last answer that was waited for and taking
+	// part, so that a burst's worth is refilled when callers come.
+	settleTime = time.Second
 )
 
 // members are the gateways that limits are divided by.
@@ -100,7 +103,10 @@
 	if len(m.waiting(self)) > 0 && now.Sub(m.started) < wait {
 		return
 	}
-	m.joined, m.joinedAt = true, now
+	if m.joinedAt.IsZero() {
+		m.joinedAt = now
+	}
+	m.joined = now.Sub(m.joinedAt) >= settleTime
 }
 
 // waiting gives those that have not said that they count this gateway.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -258,6 +258,8 @@
 	for range 38 {
 		g.step()
 	}
+	assert.Assert(t, !c.Joined(), "before it has settled")
+	g.step()
 	assert.Assert(t, c.Joined(), "the other did not answer for a hold")
 }
 
@@ -278,6 +280,19 @@
 	assert.Assert(t, n > 0 && n <= 20, "%d", n)
 }
 
+// A gateway that has just joined admits a burst: a second's refill is there
+// when it takes part.
+func TestBurstAfterJoining(t *testing.T) {
+	g := newGroup()
+	g.start("vm_0")
+	g.start("vm_1")
+	for g.joined() < 2 {
+		g.step()
+	}
+	a := table.Account{Name: "a", RequestsPerSecond: 100, Burst: 100}
+	assert.Assert(t, g.flood(a, 0) >= 90)
+}
+
 // An account with fewer units than gateways is held by as many gateways, and
 // one that is idle takes no memory.
 func TestSmallAndIdle(t *testing.T) {
