Run suspects beside other work, and only not beside each other

Cause: after an upstream's end everything that was in flight there is suspect, and each of those requests drained another upstream to run with nothing beside it: eight in flight at one end would drain up to eight upstreams of twelve for as long as their longest answers. Ruled out: no rule at all at the place, since two suspects that end an upstream together would both be held back. Result: TestSuspects takes the place of TestSolo, the random test checks that no two suspects run at once and that no slot stays free for one. With the rule off both are red. How much the drain cost was worked out, not measured.

--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -38,8 +38,10 @@
 	// Arrived is when the caller's request reached its gateway.
 	Arrived time.Time
 	Cost    table.Tokens
-	// Solo says that the request must run with nothing else in flight.
-	Solo bool
+	// Suspect says that the request may have ended an upstream. It does not run
+	// beside another suspect: should the upstream end, it is plain which of them
+	// did it.
+	Suspect bool
 }
 
 // Withdrawn is a gateway's word that it no longer wants the offer, or that its
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -120,8 +120,6 @@
 		return
 	}
 	c.refuse(victim.ID, result.SidecarEvicted, queueRetryAfter)
-	// The victim may have been the solo offer that the rest drained for.
-	c.schedule(now)
 	if o.phase == parked {
 		c.emit(Park{ID: o.ID})
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,6 +13,8 @@
 	// tiers are in the order of their priority.
 	tiers  []*tierQueue
 	parked int
+	// suspectRuns says that a suspect is in flight, so that others are held.
+	suspectRuns bool
 }
 
 // tierQueue holds the parked offers of one tier in the order they came.
@@ -104,34 +106,32 @@
 // turn chooses the first tier's turn that is earned; its offer is nil for none.
 func (q *queue) turn(now time.Time, slack float64) choice {
 	for _, t := range q.tiers {
-		if o := t.turn(now, slack); o != nil {
+		if o := q.turnOf(now, t, slack); o != nil {
 			return choice{offer: o, turn: true}
 		}
 	}
 	return choice{}
 }
 
-// highest is the highest tier that waits; nil for none.
+// held says that an offer may not run beside what is in flight.
+func (q *queue) held(o *offer) bool { return q.suspectRuns && o.Suspect }
+
+// highest is the highest tier with an offer that may run; nil for none.
 func (q *queue) highest() *tierQueue {
 	for _, t := range q.tiers {
-		if len(t.offers) > 0 {
+		if slices.ContainsFunc(t.offers, func(o *offer) bool { return !q.held(o) }) {
 			return t
 		}
 	}
 	return nil
 }
 
-// turn gives the overdue offer that this tier may now grant out of order.
-func (t *tierQueue) turn(now time.Time, slack float64) *offer {
+// turnOf gives the overdue offer that a tier may now grant out of order.
+func (q *queue) turnOf(now time.Time, t *tierQueue, slack float64) *offer {
 	if t.sinceTurn < minStarvationShare-1 {
 		return nil
 	}
-	t.scratch = t.scratch[:0]
-	for _, o := range t.offers {
-		if t.earned(o) && o.overdue(now) {
-			t.scratch = append(t.scratch, o)
-		}
-	}
+	t.keep(func(o *offer) bool { return !q.held(o) && t.earned(o) && o.overdue(now) })
 	measure(&t.classes, t.scratch)
 	var best *offer
 	for _, o := range t.scratch {
@@ -145,18 +145,29 @@
 	return best
 }
 
+// keep puts the offers that pass into scratch.
+func (t *tierQueue) keep(pass func(*offer) bool) {
+	t.scratch = t.scratch[:0]
+	for _, o := range t.offers {
+		if pass(o) {
+			t.scratch = append(t.scratch, o)
+		}
+	}
+}
+
 // earned says that enough went to others for o to have its tier's turn: one in N
 // of the grants, and of the tokens too, so that a long answer waits longer.
 func (t *tierQueue) earned(o *offer) bool {
 	return t.sinceTurn >= o.others && t.tokensSince >= float64(o.others)*o.cost
 }
 
-// next gives the offer of this tier that goes first: of those within their fair
+// next gives the offer of a tier that goes first: of those within their fair
 // part, the earliest due that can still be in time, else the oldest.
-func (t *tierQueue) next(now time.Time, slack float64, expect func(table.ClassName) time.Duration) *offer {
-	measure(&t.classes, t.offers)
+func (q *queue) next(now time.Time, t *tierQueue, slack float64, expect func(table.ClassName) time.Duration) *offer {
+	t.keep(func(o *offer) bool { return !q.held(o) })
+	measure(&t.classes, t.scratch)
 	var timely, late *offer
-	for _, o := range t.offers {
+	for _, o := range t.scratch {
 		if !o.fair(slack) {
 			continue
 		}
--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"jasminewing.dev/jasminewing/pkg/result"
@@ -14,10 +15,6 @@
 		if ch.offer == nil {
 			return
 		}
-		// A solo offer at the head waits for the rest to drain.
-		if ch.offer.Solo && len(c.inFlight) > 0 {
-			return
-		}
 		c.grant(now, ch)
 	}
 }
@@ -27,15 +24,13 @@
 	if c.queue.parked == 0 || c.refusing() != result.OK {
 		return false
 	}
-	if len(c.inFlight) > 0 && c.inFlight[0].Solo {
-		return false
-	}
 	return len(c.inFlight) < c.limiter.limit()
 }
 
 // next chooses the offer that goes next; its offer is nil when none may. A
 // tier's turn takes a slot kept for higher tiers all the same, or it might starve.
 func (c *Core) next(now time.Time) choice {
+	c.queue.suspectRuns = slices.ContainsFunc(c.inFlight, func(o *offer) bool { return o.Suspect })
 	slack := float64(c.FairSlack)
 	if ch := c.queue.turn(now, slack); ch.offer != nil {
 		return ch
@@ -44,7 +39,7 @@
 	if t == nil || c.kept(now, t.tier) {
 		return choice{}
 	}
-	return choice{offer: t.next(now, slack, c.timings.expect)}
+	return choice{offer: c.queue.next(now, t, slack, c.timings.expect)}
 }
 
 // kept says that the slots left are kept for a higher tier that was here lately.
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -145,7 +145,7 @@
 		Deadline: a.deadline,
 		Arrived:  time.Now().Add(-time.Duration(a.offer.WaitedUs) * time.Microsecond),
 		Cost:     table.Tokens(a.offer.CostTokens),
-		Solo:     a.suspected,
+		Suspect:  a.suspected,
 	})
 }
 
--- a/internal/suspect/core.go
+++ b/internal/suspect/core.go
@@ -2,7 +2,7 @@
 // them. It does no I/O; gateways and sidecars hold a core each.
 //
 // All requests in flight at an upstream that dies are suspect, named by client
-// account and body. A suspect runs with nothing beside it, at one upstream of
+// account and body. A suspect runs beside no other suspect, at one upstream of
 // the fleet only. There an innocent request comes to a clean end and is
 // cleared; a second death puts the request in quarantine, in which it is
 // refused everywhere, also by processes that have only heard of it.
@@ -15,7 +15,7 @@
 //	c := &suspect.Core{}
 //	c.Handle(now, suspect.Died{Incarnation: id, Fingerprints: inFlight})
 //	deaths, solo, refuse := c.Verdict(now, f)
-//	// refuse: result.Suspect; solo: only at suspect.Place(f, vms), alone
+//	// refuse: result.Suspect; solo: only at suspect.Place(f, vms)
 //	peer.Handle(now, suspect.Heard{Suspicions: c.Share(now)})
 package suspect
 
@@ -105,8 +105,8 @@
 }
 
 // Verdict says what may be done with a request: deaths is how many upstreams
-// it is suspected of, solo that it may run only alone and at its Place, refuse
-// that it may not run.
+// it is suspected of, solo that it may run only at its Place and beside no other
+// suspect, refuse that it may not run.
 func (c *Core) Verdict(now time.Time, f Fingerprint) (deaths int, solo, refuse bool) {
 	for _, i := range c.deaths[f] {
 		m := c.marks[markKey{f, i}]
--- a/internal/suspect/message.go
+++ b/internal/suspect/message.go
@@ -18,8 +18,7 @@
 // Heard is what a peer shared.
 type Heard struct{ Suspicions []*wire.Suspicion }
 
-// Clean says that a request ran alone and the upstream gave its whole answer.
-// A clean end beside other requests is no Clean.
+// Clean says that a suspect ran to its whole answer.
 type Clean struct{ Fingerprint Fingerprint }
 
 // Ticked lets suspicions lapse. It is expected every few seconds.
