--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -56,8 +56,10 @@
 }
 
 // newCluster starts the platform's stand-ins with the demo's table in force.
-func newCluster(t testing.TB) *cluster {
-	c := &cluster{t: t, config: &standin.Config{}, vms: &standin.VMs{}, tables: t.TempDir()}
+func newCluster(t testing.TB) *cluster { return newClusterWith(t, &standin.Config{}) }
+
+func newClusterWith(t testing.TB, config *standin.Config) *cluster {
+	c := &cluster{t: t, config: config, vms: &standin.VMs{}, tables: t.TempDir()}
 	assert.NilError(t, demo.WriteTable(c.tables))
 	c.configAddr = c.serve(c.config.Service())
 	c.vmListAddr = c.serve(c.vms.Service())
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -36,6 +36,7 @@
 	current configCopy
 	// stale is the copy that is served while the service is stale.
 	stale   *configCopy
+	kept    configCopy
 	down    bool
 	changed chan struct{}
 	calls   ConfigCalls
@@ -145,6 +146,24 @@
 	c.wake()
 }
 
+// Keep remembers the copy of now for ServeKept.
+func (c *Config) Keep() {
+	c.once.Do(c.start)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = configCopy{c.current.revision, maps.Clone(c.current.values)}
+}
+
+// ServeKept makes the service go back to the copy of Keep until it is set
+// fresh.
+func (c *Config) ServeKept() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.kept
+	c.stale = &kept
+	c.wake()
+}
+
 // Calls gives the counts so far.
 func (c *Config) Calls() ConfigCalls {
 	c.mu.Lock()
