Stop a gateway under load with room in its client account

The new gateway's share of its client account's rate begins empty, and 12 requests at once met account_rate. That is what the quota means to do; the test is of the stop.

--- a/cmd/jasminewing/stop_test.go
+++ b/cmd/jasminewing/stop_test.go
@@ -74,7 +74,10 @@
 // one that comes late because the balancer has not yet heard; it exits with 0.
 func TestGatewayStoppedUnderLoad(t *testing.T) {
 	t.Parallel()
-	d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{TokenGap: 10 * time.Millisecond} })
+	// A new gateway's share of a client account's limit fills up at the limit's
+	// rate; here that is no matter.
+	d := newDrafts(t, twoEngines, func() *standin.Engine { return &standin.Engine{TokenGap: 10 * time.Millisecond} },
+		withEdit("accounts", ",10,500,200,", ",10,50000,20000,"))
 	g := d.gateway("gw_3", "north", "--stop-settle", "1s")
 	d.awaitServing(draft("hello", 1, false), g)
 	var all []*pending
