Say in status what a walk by hand found missing

Cause: a walk with separate processes showed values as refused while the others of the table were on their way, a row without a sidecar as one that is not reached, and quantiles of nothing as 0s.

--- a/cmd/jasminewing/status.go
+++ b/cmd/jasminewing/status.go
@@ -182,7 +182,7 @@
 	for _, u := range us.Upstreams {
 		work := "yes" + coldText(u.Cold)
 		if !u.Offers {
-			work = "no: " + reasonText(u.Reason)
+			work = "no: " + whyNot(u)
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n",
 			u.Upstream, u.DataCentre, work, u.InFlight, u.Limit, u.Parked, ageText(u.ReportAgeMillis))
@@ -192,11 +192,19 @@
 	}
 }
 
+// whyNot tells a sidecar that is not reached from one that is not there.
+func whyNot(u admin.UpstreamSeen) string {
+	if u.VM == "" && u.Reason.Code == result.SidecarUnreached {
+		return fmt.Sprintf("%d %s (the VM list has no sidecar before it)", u.Reason.Code, u.Reason.Name)
+	}
+	return reasonText(u.Reason)
+}
+
 func printClasses(w io.Writer, cs *admin.Classes) {
 	fmt.Fprintln(w, "\nCLASS\tTIER\tMET\tOF\tFIRST TOKEN P50\tP95\tTARGET")
 	for _, c := range cs.Classes {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%s\n", c.Class, c.Tier, c.Met, c.All,
-			millisText(c.FirstTokenP50), millisText(c.FirstTokenP95), millisText(c.FirstTokenTarget))
+			quantileText(c.FirstTokenP50), quantileText(c.FirstTokenP95), millisText(c.FirstTokenTarget))
 	}
 }
 
@@ -222,3 +230,11 @@
 }
 
 func millisText(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+// quantileText gives a dash where nothing was measured.
+func quantileText(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return millisText(ms)
+}
--- a/internal/admin/api_test.go
+++ b/internal/admin/api_test.go
@@ -124,7 +124,7 @@
 	f.refused = []fleet.Refusal{{
 		Name: "classes", Revision: 9, InForce: 2, Since: testNow.Add(-time.Minute),
 		Err: errors.New("classes:2:tier: 1103 bad_cell: \"first\" is no whole number\nand 2 more"),
-	}}
+	}, {Name: "accounts", Revision: 10, InForce: 4, Since: testNow.Add(-time.Second), Err: errors.New("on its way")}}
 	return f
 }
 
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -100,9 +100,16 @@
 	}
 }
 
+// refusedSettle keeps quiet about values that came without those they belong
+// to: these come one by one.
+const refusedSettle = 2 * time.Second
+
 func refusedValues(now time.Time, rs []fleet.Refusal) []RefusedValue {
 	vs := make([]RefusedValue, 0, len(rs))
 	for _, r := range rs {
+		if now.Sub(r.Since) < refusedSettle {
+			continue
+		}
 		v := RefusedValue{
 			Section: r.Name, Revision: r.Revision, InForceRevision: r.InForce,
 			AgeMillis: millis(now.Sub(r.Since)), Faults: []string{},
