Tell gateways how much runs and waits, not only what changed at once

Cause: a benchmark that waits for a queue never saw it: a sidecar's report held the counts of the last change that goes out at once (limit, cold, refusing, the queue's first or last offer), so gateways chose by stale loads. Ruled out: the admission core, whose State is right at every step, and the offers, all of which had reached the sidecar. Change: the admitter hands every state to the reports; only changes that matter at once wake the watchers, as before.

--- a/internal/sidecar/admitter.go
+++ b/internal/sidecar/admitter.go
@@ -36,8 +36,9 @@
 	// Renew is called after a pause, in a task of its own. It calls ended once
 	// what this process knows is renewed and the core was told.
 	Renew func(ctx context.Context, ended func())
-	// Report is told of each new state.
-	Report func(admission.State)
+	// Report is told of each state that gateways should hear at once, Count of
+	// every state.
+	Report, Count func(admission.State)
 
 	inbox  chan letter
 	offers map[admission.OfferID]chan admission.Effect
@@ -102,6 +103,7 @@
 	for _, e := range a.Core.Handle(time.Now(), l.message) {
 		a.carryOut(e)
 	}
+	a.Count(a.Core.State())
 	switch m := l.message.(type) {
 	case admission.BodyCame:
 		l.accepted <- a.Core.Runs(m.ID)
--- a/internal/sidecar/reports.go
+++ b/internal/sidecar/reports.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// count takes over a state without waking anybody: it goes out with the next
+// report.
+func (r *reports) count(s admission.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = s
+}
+
 func (r *reports) get() admission.State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,6 +105,7 @@
 	s.started = time.Now()
 	s.admitter.Core = admission.Core{MaxParked: s.MaxParked}
 	s.admitter.Report = s.noteState
+	s.admitter.Count = s.reports.count
 	s.admitter.Renew = s.renewAfterPause
 	s.admitter.init()
 	s.metrics.init(s)
