Keep the trace of a call that its account's limits turned away

Cause: an operator asked about such a request id was told that there is none. Ruled out: keeping those that were refused before their account was known, for callers without a key could then push every trace out of the ring. Conclusion: a test holds both the trace and the bound of the ring.

--- a/internal/gateway/attainment_test.go
+++ b/internal/gateway/attainment_test.go
@@ -1,10 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 func TestAttainmentWindow(t *testing.T) {
@@ -44,3 +49,18 @@
 	u.begin(now, "other")
 	assert.Equal(t, len(u.accounts), 1, "an idle account is kept")
 }
+
+// The ring of traces keeps the newest, and a call that limits turned away too.
+func TestTracesKept(t *testing.T) {
+	g := &Gateway{}
+	g.traces.refused(&call{id: "req_0", account: table.Account{Name: "market"}, arrived: time.Now()}, result.AccountRate)
+	got, ok := g.Trace("req_0")
+	assert.Assert(t, ok && got.Ended)
+	assert.Equal(t, got.Steps[0].Code, result.AccountRate)
+	for n := range keptTraces {
+		g.traces.end(g.traces.begin(&call{id: dispatch.RequestID(fmt.Sprint("req_", n+1))}))
+	}
+	_, ok = g.Trace("req_0")
+	assert.Assert(t, !ok, "an old trace is kept")
+	assert.Equal(t, len(g.traces.byID), keptTraces)
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -86,6 +86,7 @@
 	}
 	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
 	if code != result.OK {
+		g.traces.refused(c, code)
 		refusal := result.Errorf(code, "client account %q", c.account.Name)
 		refusal.RetryAfter = after
 		g.refuseCall(a, refusal)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -81,6 +81,13 @@
 	tr.Ended = true
 }
 
+// refused keeps a call that its account's limits turned away.
+func (t *traces) refused(c *call, code result.Code) {
+	tr := t.begin(c)
+	tr.step("refused", "", code)
+	t.end(tr)
+}
+
 // Trace gives the path of a recent request; false if it is not kept.
 func (g *Gateway) Trace(id dispatch.RequestID) (Trace, bool) {
 	g.traces.mu.Lock()
