--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +21,7 @@
 	"jasminewing.dev/jasminewing/internal/demo"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
 )
 
@@ -51,11 +51,15 @@
 	configAddr string
 	vmListAddr string
 	gateways   []*proc
+	// relayed puts relays round each sidecar.
+	relayed bool
 }
 
 // newCluster starts the platform's stand-ins with the demo's table in force.
-func newCluster(t testing.TB) *cluster {
-	c := &cluster{t: t, config: &standin.Config{}, vms: &standin.VMs{}, tables: t.TempDir()}
+func newCluster(t testing.TB) *cluster { return newClusterWith(t, &standin.Config{}) }
+
+func newClusterWith(t testing.TB, config *standin.Config) *cluster {
+	c := &cluster{t: t, config: config, vms: &standin.VMs{}, tables: t.TempDir()}
 	assert.NilError(t, demo.WriteTable(c.tables))
 	c.configAddr = c.serve(c.config.Service())
 	c.vmListAddr = c.serve(c.vms.Service())
@@ -130,14 +134,7 @@
 func (c *cluster) awaitReady(ps ...*proc) {
 	c.t.Helper()
 	for _, p := range ps {
-		c.await("ready "+string(p.vm.Name), func() bool {
-			resp, err := http.Get("http://" + p.admin + "/readyz")
-			if err != nil {
-				return false
-			}
-			_ = resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
+		c.await("ready "+string(p.vm.Name), func() bool { return p.readiness() == result.OK })
 	}
 }
 
@@ -228,12 +225,12 @@
 // started gives a field of the event started, once it is there.
 func (p *proc) started(field string) string {
 	p.t.Helper()
-	var value string
+	var fields map[string]any
 	(&cluster{t: p.t}).await("start of "+p.command.Args[1], func() bool {
-		value = fmt.Sprint(p.event("started")[field])
-		return p.event("started") != nil
+		fields = p.event("started")
+		return fields != nil
 	})
-	return value
+	return fmt.Sprint(fields[field])
 }
 
 func (p *proc) signal(s syscall.Signal) {
@@ -268,66 +265,3 @@
 		return -1
 	}
 }
-
-// request is what a caller sends.
-type request struct {
-	path   string
-	body   string
-	class  string
-	key    string
-	bearer string
-}
-
-// reply is what a caller gets.
-type reply struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
-// code gives the number of an error reply, 0 for none.
-func (r reply) code() int {
-	var e struct {
-		Error struct {
-			Code int `json:"code"`
-		} `json:"error"`
-	}
-	_ = json.Unmarshal([]byte(r.body), &e)
-	return e.Error.Code
-}
-
-// send sends a request to a gateway.
-func (p *proc) send(r request) reply {
-	out, err := http.NewRequest(http.MethodPost, "http://"+p.callers+r.path, strings.NewReader(r.body))
-	if err != nil {
-		return reply{err: err}
-	}
-	if r.bearer == "" {
-		r.bearer = demo.MarketKey
-	}
-	out.Header.Set("Authorization", "Bearer "+r.bearer)
-	if r.class != "" {
-		out.Header.Set("Jasminewing-Class", r.class)
-	}
-	if r.key != "" {
-		out.Header.Set("Idempotency-Key", r.key)
-	}
-	resp, err := (&http.Client{Timeout: patience}).Do(out)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
-}
-
-var requestID = regexp.MustCompile(`req_[0-9a-f]+_[0-9]+`)
-
-// transcript writes down what a caller sent and got, without what changes from
-// run to run.
-func transcript(w io.Writer, gateway string, r request, got reply) {
-	fmt.Fprintf(w, "> %s %s class=%s key=%s %s\n", gateway, r.path, r.class, r.key, r.body)
-	body := requestID.ReplaceAllString(got.body, "REQUEST")
-	fmt.Fprintf(w, "< %d not_whole=%t\n%s\n", got.status, got.err != nil, strings.TrimRight(body, "\n"))
-}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -21,6 +21,9 @@
 	// helpFactor is what halving the limit must make of the gap, or better, to
 	// be of use.
 	helpFactor = 0.85
+	// coldPatience is how many clean ends for each slot of the cold limit may
+	// miss the target before the target, not the cold, is blamed.
+	coldPatience = 8
 )
 
 // stamp tells under which limit a grant was given.
@@ -35,14 +38,18 @@
 type limiter struct {
 	ceiling   int
 	coldLimit int
-	cold      bool
-	now       stamp
+	// reserveShare keeps one slot in so many for higher tiers; negative for none.
+	reserveShare int
+	cold         bool
+	now          stamp
 	// ramp is the limit while cold.
 	ramp int
 	// clean counts clean ends of what was granted at this step, peak is the
 	// most that ran at once in it.
 	clean int
 	peak  int
+	// slow counts clean ends at the cold limit that missed the target.
+	slow int
 	// unclean counts unclean ends in a row.
 	unclean int
 	// warm is the limit while warm; its fraction is growth under way.
@@ -68,6 +75,15 @@
 	return int(l.warm)
 }
 
+// unreserved is how many of the limit's slots are open to every tier.
+func (l *limiter) unreserved() int {
+	limit := l.limit()
+	if l.reserveShare <= 0 {
+		return limit
+	}
+	return limit - limit/l.reserveShare
+}
+
 // configure takes the limits of the row. They are at least one.
 func (l *limiter) configure(u table.Upstream) {
 	ceiling := max(u.Limit, 1)
@@ -75,6 +91,9 @@
 	if !l.cold && l.warm >= float64(l.ceiling) {
 		l.warm = float64(ceiling)
 	}
+	if ceiling != l.ceiling {
+		l.cuts = cuts{}
+	}
 	l.warm = min(l.warm, float64(ceiling))
 	l.ramp = min(l.ramp, ceiling)
 	if l.cold && coldLimit != l.coldLimit {
@@ -89,7 +108,7 @@
 	l.ramp = l.coldLimit
 	l.warm = float64(l.ceiling)
 	l.cuts = cuts{}
-	l.unclean = 0
+	l.slow, l.unclean = 0, 0
 	l.now.epoch++
 	l.nextStep()
 }
@@ -103,7 +122,7 @@
 func (l *limiter) ran(n int) { l.peak = max(l.peak, n) }
 
 // finished takes the end of a request. Target is the tightest between tokens of
-// what ran beside it, full that no slot was free. It says whether errors came
+// what ran beside it, full that no slot was open to every tier. It says whether errors came
 // in a burst, so that the upstream must turn cold.
 func (l *limiter) finished(s stamp, m Finished, target time.Duration, full bool) bool {
 	if s.epoch != l.now.epoch || m.Cancelled {
@@ -144,6 +163,9 @@
 func (l *limiter) growCold(gap, target time.Duration) {
 	if l.ramp <= l.coldLimit {
 		l.setFloor(gap, target)
+		if l.stillCold(gap, target) {
+			return
+		}
 	}
 	if aim := l.aim(target); aim > 0 && gap > aim {
 		l.goWarm(l.ramp)
@@ -151,7 +173,7 @@
 		return
 	}
 	l.clean++
-	if l.clean < l.ramp || l.peak < l.ramp {
+	if l.clean < l.ramp || l.peak < l.unreserved() {
 		return
 	}
 	l.ramp = min(l.ramp+max(l.ramp/2, 1), l.ceiling)
@@ -161,6 +183,16 @@
 	}
 }
 
+// stillCold says that a missed target at the cold limit shows an upstream that
+// is cold yet. One that goes on missing it is only slow.
+func (l *limiter) stillCold(gap, target time.Duration) bool {
+	if target <= 0 || gap <= target {
+		return false
+	}
+	l.slow++
+	return l.slow < coldPatience*l.coldLimit
+}
+
 // setFloor notes the gap at the cold limit, below which no cut goes.
 func (l *limiter) setFloor(gap, target time.Duration) {
 	switch {
@@ -212,7 +244,7 @@
 	}
 	halved := l.warm <= max(l.cuts.from/2, 1)
 	if halved && float64(gap) > helpFactor*float64(l.cuts.worst) {
-		l.warm = min(l.cuts.from, float64(l.ceiling))
+		l.warm = l.cuts.from
 		l.cuts = cuts{floor: gap}
 		l.nextStep()
 		return
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -109,11 +109,11 @@
 func describe(v any) string {
 	switch v := v.(type) {
 	case Offered:
-		solo := ""
-		if v.Solo {
-			solo = " solo"
+		suspect := ""
+		if v.Suspect {
+			suspect = " suspect"
 		}
-		return fmt.Sprintf("offered %d tier %d %s/%s%s", v.ID, v.Class.Tier, v.Class.Name, v.Account, solo)
+		return fmt.Sprintf("offered %d tier %d %s/%s%s", v.ID, v.Class.Tier, v.Class.Name, v.Account, suspect)
 	case Configured:
 		return fmt.Sprintf("configured limit %d cold_limit %d %s data_centre_out %t",
 			v.Upstream.Limit, v.Upstream.ColdLimit, v.Upstream.State, v.DataCentreOut)
@@ -303,11 +303,30 @@
 	s.golden()
 }
 
+func TestEditedLimitForgetsCuts(t *testing.T) {
+	s := newSession(t, 8, 1)
+	s.warmQuietly(notice)
+	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
+	s.offer(notice, "ward", 40)
+	s.finish(1, slow)
+	assert.Equal(t, s.core.State().Limit, 6)
+	s.note("cuts from eight are not taken back under a row of three")
+	row := s.core.Upstream
+	row.Limit = 3
+	s.send(Configured{Upstream: row})
+	s.finish(14, slow)
+	assert.Equal(t, s.core.State().Limit, 3)
+	s.golden()
+}
+
 func TestRampOutOfReach(t *testing.T) {
 	s := newSession(t, 4, 1)
 	slow := Finished{Clean: true, Tokens: 50, TokenGap: 70 * time.Millisecond}
-	s.note("one alone misses the target: the ramp goes on while it gets no worse")
-	s.offer(notice, "ward", 12)
+	s.note("one alone misses the target: that may be the cold, for seven ends")
+	s.offer(notice, "ward", 19)
+	s.finish(7, slow)
+	assert.DeepEqual(t, s.core.State(), State{Limit: 1, InFlight: 1, Parked: 11, Cold: true})
+	s.note("then the ramp goes on while it gets no worse")
 	s.finish(4, slow)
 	assert.DeepEqual(t, s.core.State(), State{Limit: 3, InFlight: 3, Parked: 5, Cold: true})
 	s.note("twice the gap of one alone ends it")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -81,9 +81,6 @@
 		return
 	}
 	a.streamed = c.streamed
-	if g.Quota == nil {
-		g.Quota = noQuota{}
-	}
 	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
 	if code != result.OK {
 		g.traces.refused(c, code)
@@ -95,7 +92,7 @@
 	var used table.Tokens
 	g.usages.begin(time.Now(), c.account.Name)
 	defer func() {
-		g.Quota.Done(time.Now(), c.account, used)
+		g.Quota.Done(time.Now(), c.account, c.class.MaxTokens, used)
 		g.usages.end(time.Now(), c.account.Name, used)
 	}()
 	a.gaps = g.metrics.gap(c)
@@ -169,13 +166,6 @@
 	return list
 }
 
-type noQuota struct{}
-
-func (noQuota) Take(time.Time, table.Account, table.Tokens) (result.Code, time.Duration) {
-	return result.OK, 0
-}
-func (noQuota) Done(time.Time, table.Account, table.Tokens) {}
-
 // bounded bounds how long a caller may take to send its body, whatever becomes
 // of the request: what a handler leaves unread, net/http reads before it
 // answers. A body that was read whole lifts the bound.
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/admission"
@@ -37,10 +39,18 @@
 	// suspected says that the request may have ended an upstream.
 	suspected bool
 	// forwarded is when the upstream was given the request.
-	forwarded  time.Time
+	forwarded time.Time
+	// instance is the upstream's when it was given the request.
+	instance   string
 	firstToken bool
+	// heard is when the upstream last sent a part of the answer, in Unix
+	// nanoseconds; giveUp ends the call on it.
+	heard  atomic.Int64
+	giveUp context.CancelCauseFunc
 }
 
+func (a *attempt) heardAt() time.Time { return time.Unix(0, a.heard.Load()) }
+
 // Work is what the sidecar serves to gateways.
 type Work struct{ Sidecar *Sidecar }
 
@@ -119,7 +129,9 @@
 }
 
 // keyed holds where an idempotency key decides whether the request runs.
-func (a *attempt) keyed() bool { return a.offer.Key != "" && !a.class.Idempotent }
+func (a *attempt) keyed() bool { return keyed(a.offer, a.class) }
+
+func keyed(o *wire.Offer, c table.Class) bool { return o.Key != "" && !c.Idempotent }
 
 func (a *attempt) submit() {
 	weight := table.Weight(1)
@@ -133,7 +145,7 @@
 		Deadline: a.deadline,
 		Arrived:  time.Now().Add(-time.Duration(a.offer.WaitedUs) * time.Microsecond),
 		Cost:     table.Tokens(a.offer.CostTokens),
-		Solo:     a.suspected,
+		Suspect:  a.suspected,
 	})
 }
 
@@ -254,10 +266,15 @@
 			return result.Errorf(result.Paused, "the claim may no longer stand")
 		}
 	}
-	a.sidecar.flights.begin(a.offer)
-	defer a.sidecar.flights.end(a.offer)
 	a.forwarded = time.Now()
-	outcome := a.forward(ctx)
+	a.instance = a.sidecar.instance()
+	a.heard.Store(a.forwarded.UnixNano())
+	var given context.Context
+	given, a.giveUp = context.WithCancelCause(ctx)
+	defer a.giveUp(nil)
+	a.sidecar.flights.begin(a)
+	defer a.sidecar.flights.end(a)
+	outcome := a.forward(given)
 	finished = a.finishedWith(ctx, outcome)
 	return a.conclude(outcome)
 }
@@ -274,7 +291,7 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), a.deadline.Add(finishGrace))
 		defer cancel()
 	}
-	return a.sidecar.Upstream.Do(ctx, engine.Request{
+	outcome := a.sidecar.Upstream.Do(ctx, engine.Request{
 		Method:       a.offer.Method,
 		Path:         a.offer.Path,
 		Header:       headerOf(a.offer.Headers),
@@ -284,6 +301,10 @@
 		Streamed:     a.offer.Streamed,
 		ResumeOffset: table.Tokens(a.offer.ResumeOffset),
 	}, a)
+	if !outcome.Complete && errors.Is(context.Cause(ctx), errSilent) {
+		outcome.Code, outcome.Detail = result.UpstreamTimeout, errSilent.Error()
+	}
+	return outcome
 }
 
 func (a *attempt) finishedWith(ctx context.Context, o engine.Outcome) admission.Finished {
@@ -298,7 +319,7 @@
 
 // conclude tells gateway and records how the run ended.
 func (a *attempt) conclude(o engine.Outcome) error {
-	a.sidecar.noteOutcome(a.offer, o, a.suspected)
+	death := a.sidecar.noteOutcome(a, o)
 	if a.answer != nil {
 		a.answer.Complete = o.Complete
 		a.sidecar.Keys.Finish(a.key, o, a.answer)
@@ -314,18 +335,10 @@
 		Code:      uint32(o.Code),
 		Detail:    o.Detail,
 		Tokens:    uint32(o.Tokens),
-		Death:     a.death(o),
+		Death:     string(death),
 	}}})
 }
 
-// death names the death of the upstream that the run may have met.
-func (a *attempt) death(o engine.Outcome) string {
-	if !o.Died {
-		return ""
-	}
-	return string(a.sidecar.deathOf(a.sidecar.instance()))
-}
-
 // replay gives the recorded answer of a key.
 func (a *attempt) replay(answer *wire.StoredAnswer) error {
 	if err := a.sendHead(int(answer.Status), answer.Headers); err != nil {
