--- a/cmd/jasminewing/harness_test.go
+++ b/cmd/jasminewing/harness_test.go
@@ -53,6 +53,8 @@
 	gateways   []*proc
 	// relayed puts relays round each sidecar.
 	relayed bool
+	// gatewayFlags and sidecarFlags are given to each.
+	gatewayFlags, sidecarFlags []string
 }
 
 // newCluster starts the platform's stand-ins with the demo's table in force.
@@ -91,7 +93,7 @@
 	args := append([]string{
 		"gateway", "--name", name, "--data-centre", dataCentre, "--listen", loopback, "--peer-listen", loopback,
 		"--stop-settle", "200ms",
-	}, more...)
+	}, append(c.gatewayFlags, more...)...)
 	p := c.start(args)
 	p.vm = fleet.VM{
 		Name: fleet.VMName(name), Role: fleet.Gateway, DataCentre: table.DataCentreName(dataCentre),
@@ -109,7 +111,7 @@
 	args := append([]string{
 		"sidecar", "--name", name, "--data-centre", dataCentre, "--listen", loopback,
 		"--upstream-name", upstream, "--upstream-address", address,
-	}, more...)
+	}, append(c.sidecarFlags, more...)...)
 	p := c.start(args)
 	p.vm = fleet.VM{
 		Name: fleet.VMName(name), Role: fleet.Sidecar, DataCentre: table.DataCentreName(dataCentre),
