--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -70,7 +70,7 @@
 	c.apply(now, m)
 	c.expire(now)
 	c.schedule(now)
-	c.settle(now)
+	c.settle()
 	c.report()
 	effects := c.effects
 	c.effects = nil
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -104,7 +104,7 @@
 }
 
 // settle parks an offer that got no grant at once, or makes room for it.
-func (c *Core) settle(now time.Time) {
+func (c *Core) settle() {
 	o := c.arrived
 	if o == nil || o.phase != parked {
 		return
