--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -44,6 +44,7 @@
 	down          bool
 	leaving       bool
 	dataCentreOut bool
+	paused        bool
 	sequence      uint64
 	// arrived is the offer that the present message brought.
 	arrived *offer
@@ -69,7 +70,7 @@
 	c.apply(now, m)
 	c.expire(now)
 	c.schedule(now)
-	c.settle(now)
+	c.settle()
 	c.report()
 	effects := c.effects
 	c.effects = nil
@@ -137,7 +138,10 @@
 		c.healthChanged(m)
 	case LeaveAsked:
 		c.changeRefusing(func() { c.leaving = true })
+	case PauseBegan:
+		c.changeRefusing(func() { c.paused = true })
 	case PauseEnded:
+		c.paused = false
 		c.turnCold()
 	case Ticked:
 	}
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -38,8 +38,10 @@
 	// Arrived is when the caller's request reached its gateway.
 	Arrived time.Time
 	Cost    table.Tokens
-	// Solo says that the request must run with nothing else in flight.
-	Solo bool
+	// Suspect says that the request may have ended an upstream. It does not run
+	// beside another suspect: should the upstream end, it is plain which of them
+	// did it.
+	Suspect bool
 }
 
 // Withdrawn is a gateway's word that it no longer wants the offer, or that its
@@ -84,6 +86,10 @@
 // LeaveAsked says that the VM list or a stop signal wants the upstream to leave.
 type LeaveAsked struct{}
 
+// PauseBegan says that this process was paused: what it knows may be old, so
+// that it refuses work until PauseEnded.
+type PauseBegan struct{}
+
 // PauseEnded says that this process was paused and has renewed what it knows.
 type PauseEnded struct{}
 
@@ -98,6 +104,7 @@
 func (Configured) message()     {}
 func (HealthChanged) message()  {}
 func (LeaveAsked) message()     {}
+func (PauseBegan) message()     {}
 func (PauseEnded) message()     {}
 func (Ticked) message()         {}
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -36,16 +36,17 @@
 
 // Handler serves callers.
 func (g *Gateway) Handler() http.Handler {
-	r := mux.NewRouter()
+	r := mux.NewRouter().SkipClean(true)
 	r.UseEncodedPath()
 	r.HandleFunc("/v1/chat/completions", g.serveCall).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", g.serveCall).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", g.serveModels).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", g.serveReady).Methods(http.MethodGet)
-	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall)
+	r.PathPrefix("/services/{class}/").HandlerFunc(g.serveCall).Methods(http.MethodGet, http.MethodHead,
+		http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions)
 	r.NotFoundHandler = g.refuseWith(result.NotFound)
 	r.MethodNotAllowedHandler = g.refuseWith(result.MethodNotAllowed)
-	return r
+	return bounded(r)
 }
 
 func (g *Gateway) refuseWith(code result.Code) http.Handler {
@@ -80,18 +81,20 @@
 		return
 	}
 	a.streamed = c.streamed
-	if g.Quota == nil {
-		g.Quota = noQuota{}
-	}
 	code, after := g.Quota.Take(time.Now(), c.account, c.class.MaxTokens)
 	if code != result.OK {
+		g.traces.refused(c, code)
 		refusal := result.Errorf(code, "client account %q", c.account.Name)
 		refusal.RetryAfter = after
 		g.refuseCall(a, refusal)
 		return
 	}
 	var used table.Tokens
-	defer func() { g.Quota.Done(time.Now(), c.account, used) }()
+	g.usages.begin(time.Now(), c.account.Name)
+	defer func() {
+		g.Quota.Done(time.Now(), c.account, c.class.MaxTokens, used)
+		g.usages.end(time.Now(), c.account.Name, used)
+	}()
 	a.gaps = g.metrics.gap(c)
 	f, tokens := g.execute(r.Context(), c, a)
 	used = tokens
@@ -163,9 +166,21 @@
 	return list
 }
 
-type noQuota struct{}
+// bounded bounds how long a caller may take to send its body, whatever becomes
+// of the request: what a handler leaves unread, net/http reads before it
+// answers. A body that was read whole lifts the bound.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		now := time.Now()
+		_ = control.SetReadDeadline(now.Add(bodyTimeout))
+		_ = control.SetWriteDeadline(now.Add(bodyTimeout + writeTimeout))
+		next.ServeHTTP(w, r)
+		leaveUnread(w)
+	})
+}
 
-func (noQuota) Take(time.Time, table.Account, table.Tokens) (result.Code, time.Duration) {
-	return result.OK, 0
+// leaveUnread gives what is unread of a body a last moment to come.
+func leaveUnread(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
 }
-func (noQuota) Done(time.Time, table.Account, table.Tokens) {}
--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,154 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+const (
+	// evenUnits is the count of units from which most of them are divided
+	// evenly. Below, each unit has one owner.
+	evenUnits = 32
+	// maxOwned bounds the units with an owner beside those divided evenly.
+	maxOwned = 256
+	// tokenUnit is the least tokens a minute that are worth a unit.
+	tokenUnit = 4096
+)
+
+// limits are the columns of an account that shares depend on.
+type limits struct {
+	rate     float64
+	burst    int
+	tokens   table.Tokens
+	inFlight int
+}
+
+// account is the state of an account at this gateway.
+type account struct {
+	limits      limits
+	version     uint64
+	apart       bool
+	inFlight    int
+	maxInFlight int
+	requests    bucket
+	tokens      bucket
+}
+
+// bucket is a token bucket. Its level may be below zero.
+type bucket struct {
+	level    float64
+	capacity float64
+	// rate is for a second.
+	rate float64
+	at   time.Time
+}
+
+func limitsOf(a table.Account) limits {
+	return limits{a.RequestsPerSecond, a.Burst, a.TokensPerMinute, a.InFlight}
+}
+
+// share works out what this gateway holds of the account's limits.
+func (s *account) share(a table.Account, self fleet.VMName, all []fleet.VMName, apart bool) {
+	s.limits, s.apart = limitsOf(a), apart
+	s.maxInFlight = held(a.Name, a.InFlight, self, all, apart)
+
+	burst := max(a.Burst, int(math.Ceil(a.RequestsPerSecond)), 1)
+	units := held(a.Name, burst, self, all, apart)
+	if a.RequestsPerSecond == 0 {
+		units = 0
+	}
+	s.requests.resize(float64(units), a.RequestsPerSecond*float64(units)/float64(burst))
+
+	count := max(1, int(a.TokensPerMinute)/tokenUnit)
+	even, owners := split(count)
+	part := float64(even)/float64(max(1, len(all))) + float64(owned(a.Name, owners, self, all))
+	if apart {
+		part /= 2
+	}
+	tokens := float64(a.TokensPerMinute) * part / float64(count)
+	s.tokens.resize(tokens, tokens/time.Minute.Seconds())
+}
+
+// held gives how many whole units of a limit this gateway holds.
+func held(name table.AccountName, units int, self fleet.VMName, all []fleet.VMName, apart bool) int {
+	even, owners := split(units)
+	n := even/max(1, len(all)) + owned(name, owners, self, all)
+	if apart {
+		n /= 2
+	}
+	return n
+}
+
+// split gives the units that are divided evenly and those that have an owner.
+// It depends on the limit alone, so that all gateways split alike.
+func split(units int) (even, owners int) {
+	if units < evenUnits {
+		return 0, units
+	}
+	owners = min(units/4, maxOwned)
+	return units - owners, owners
+}
+
+// owned counts the units for which this gateway is first by rendezvous hash.
+func owned(name table.AccountName, units int, self fleet.VMName, all []fleet.VMName) int {
+	hashes := make([]uint64, len(all))
+	for i, g := range all {
+		hashes[i] = xxhash.Sum64String(string(g))
+	}
+	seed := xxhash.Sum64String(string(name))
+	n := 0
+	for u := range units {
+		key := mix(seed + uint64(u))
+		best, bestHash := 0, uint64(0)
+		for i, h := range hashes {
+			if m := mix(key ^ h); m > bestHash {
+				best, bestHash = i, m
+			}
+		}
+		if all[best] == self {
+			n++
+		}
+	}
+	return n
+}
+
+// mix is the finalizer of SplitMix64: each bit of x changes half of the result.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (b *bucket) resize(capacity, rate float64) {
+	b.capacity, b.rate = capacity, rate
+	b.level = min(b.level, capacity)
+}
+
+func (b *bucket) fill(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		b.level = min(b.capacity, b.level+b.rate*d.Seconds())
+		b.at = now
+	}
+}
+
+// has says that n may be taken. More than the whole bucket may be taken from
+// a full one; the debt is paid before anything else is.
+func (b *bucket) has(n float64) bool {
+	return b.capacity > 0 && b.level >= min(n, b.capacity)
+}
+
+func (b *bucket) full() bool { return b.level >= b.capacity }
+
+// wait gives how long the refill for n takes.
+func (b *bucket) wait(n float64) time.Duration {
+	if b.rate <= 0 {
+		return joinRetry
+	}
+	seconds := (min(n, b.capacity) - b.level) / b.rate
+	return min(mostRetry, max(time.Millisecond, time.Duration(seconds*float64(time.Second))))
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,9 @@
 	"jasminewing.dev/jasminewing/pkg/table"
 )
 
+// errSilent is why an attempt is given up whose upstream no longer answers.
+var errSilent = errors.New("upstream is silent and answers no question for its health")
+
 // followHealth asks the upstream for its health and tells the core of changes.
 func (s *Sidecar) followHealth(ctx context.Context) error {
 	ticker := time.NewTicker(healthInterval)
@@ -32,6 +37,9 @@
 		if err == nil || misses >= healthMisses {
 			s.noteHealth(h, err)
 		}
+		if misses >= healthMisses {
+			s.flights.giveUpSilent(time.Now())
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -89,25 +97,31 @@
 	return s.health.Instance
 }
 
-// noteOutcome learns from how a run ended.
-func (s *Sidecar) noteOutcome(o *wire.Offer, outcome engine.Outcome, suspected bool) {
+// noteOutcome learns from how a run ended, and names the death of the upstream
+// if that is how.
+func (s *Sidecar) noteOutcome(a *attempt, outcome engine.Outcome) (death fleet.Incarnation) {
 	switch {
 	case outcome.Died:
-		instance, inFlight := s.instance(), s.flights.all()
-		s.attempts.Go(func() { s.confirmDeath(instance, inFlight) })
-	case outcome.Complete && suspected:
-		s.Suspects.Clean(time.Now(), o)
+		return s.confirmDeath(a.instance, s.flights.all())
+	case outcome.Complete && a.suspected:
+		s.Suspects.Clean(time.Now(), a.offer)
 	}
+	return ""
 }
 
 // confirmDeath asks a lost upstream for its health: one that merely cut a
-// connection is still the same instance.
-func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) {
-	h, err := s.askHealth(context.Background())
+// connection is still the same instance. A slot is held meanwhile, so that the
+// next request does not meet an upstream that has just come back cold.
+func (s *Sidecar) confirmDeath(instance string, inFlight []*wire.Offer) fleet.Incarnation {
+	ctx, cancel := context.WithTimeout(context.Background(), deathTimeout)
+	defer cancel()
+	h, err := s.Upstream.Health(ctx)
 	if err == nil && h.Instance == instance {
-		return
+		return ""
 	}
+	s.noteHealth(h, err)
 	s.noteDeath(instance, inFlight)
+	return s.deathOf(instance)
 }
 
 // noteDeath makes all that was in flight suspect. It may be told of the same
@@ -126,7 +140,8 @@
 }
 
 // suspicion says whether a request is suspected. A suspect has one place in
-// the fleet where it may run.
+// the fleet where it may run, and one more for while the first is down. With an
+// idempotency key its place is the key's home.
 func (s *Sidecar) suspicion(o *wire.Offer, c table.Class) (suspected bool, err error) {
 	suspected, err = s.Suspects.Judge(time.Now(), o)
 	if err != nil || !suspected {
@@ -136,41 +151,76 @@
 	if c.Kind == table.Plain {
 		service = c.Service
 	}
-	place, ok := s.Suspects.Place(o, s.Fleet.View().Serving(c.Kind, service))
-	if ok && place.Name != s.VM {
-		return true, result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
+	if keyed(o, c) {
+		return true, nil
 	}
-	return true, nil
+	for i, place := range s.places(o, c, service) {
+		if place.Name == s.VM {
+			return true, nil
+		}
+		if i == 0 {
+			err = result.Errorf(result.SuspectBusy, "VM %q is the place for it", place.Name)
+		}
+	}
+	return true, err
 }
 
-// flights holds the requests that the upstream runs.
+// places gives the places of a suspect, the first one first.
+func (s *Sidecar) places(o *wire.Offer, c table.Class, service table.ServiceName) []fleet.VM {
+	vms := s.Fleet.View().Serving(c.Kind, service)
+	var places []fleet.VM
+	for range suspectPlaces {
+		place, ok := s.Suspects.Place(o, vms)
+		if !ok {
+			break
+		}
+		places = append(places, place)
+		vms = slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.Name == place.Name })
+	}
+	return places
+}
+
+// flights holds the attempts that the upstream runs.
 type flights struct {
-	mu     sync.Mutex
-	offers map[*wire.Offer]bool
+	mu       sync.Mutex
+	attempts map[*attempt]bool
 }
 
-func (f *flights) begin(o *wire.Offer) {
+func (f *flights) begin(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.offers == nil {
-		f.offers = make(map[*wire.Offer]bool)
+	if f.attempts == nil {
+		f.attempts = make(map[*attempt]bool)
 	}
-	f.offers[o] = true
+	f.attempts[a] = true
 }
 
-func (f *flights) end(o *wire.Offer) {
+func (f *flights) end(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.offers, o)
+	delete(f.attempts, a)
 }
 
 // all gives what is in flight.
 func (f *flights) all() []*wire.Offer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := make([]*wire.Offer, 0, len(f.offers))
-	for o := range f.offers {
-		all = append(all, o)
+	all := make([]*wire.Offer, 0, len(f.attempts))
+	for a := range f.attempts {
+		all = append(all, a.offer)
 	}
 	return all
 }
+
+// giveUpSilent ends what an upstream that gives no sign of life has left
+// unanswered, so that gateways have it elsewhere. What must not repeat waits
+// for its deadline: nobody else may run it.
+func (f *flights) giveUpSilent(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range f.attempts {
+		if a.class.Idempotent && now.Sub(a.heardAt()) > silentAfter {
+			a.giveUp(errSilent)
+		}
+	}
+}
