--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -104,9 +104,9 @@
 }
 
 // turn chooses the first tier's turn that is earned; its offer is nil for none.
-func (q *queue) turn(now time.Time, slack float64) choice {
+func (q *queue) turn(now time.Time, slack float64, times *timings) choice {
 	for _, t := range q.tiers {
-		if o := q.turnOf(now, t, slack); o != nil {
+		if o := q.turnOf(now, t, slack, times); o != nil {
 			return choice{offer: o, turn: true}
 		}
 	}
@@ -126,12 +126,15 @@
 	return nil
 }
 
-// turnOf gives the overdue offer that a tier may now grant out of order.
-func (q *queue) turnOf(now time.Time, t *tierQueue, slack float64) *offer {
+// turnOf gives the overdue offer that a tier may now grant out of order. One
+// that would not end by its deadline has none.
+func (q *queue) turnOf(now time.Time, t *tierQueue, slack float64, times *timings) *offer {
 	if t.sinceTurn < minStarvationShare-1 {
 		return nil
 	}
-	t.keep(func(o *offer) bool { return !q.held(o) && t.earned(o) && o.overdue(now) })
+	t.keep(func(o *offer) bool {
+		return !q.held(o) && t.earned(o) && o.overdue(now) && !o.inVain(now, times)
+	})
 	measure(&t.classes, t.scratch)
 	var best *offer
 	for _, o := range t.scratch {
@@ -162,30 +165,30 @@
 }
 
 // next gives the offer of a tier that goes first: of those within their fair
-// part, the earliest due that can still be in time, else the oldest.
-func (q *queue) next(now time.Time, t *tierQueue, slack float64, expect func(table.ClassName) time.Duration) *offer {
+// part, the earliest due that can still be in time, else the oldest that can
+// still end by its deadline, else the oldest.
+func (q *queue) next(now time.Time, t *tierQueue, slack float64, times *timings) *offer {
 	t.keep(func(o *offer) bool { return !q.held(o) })
 	measure(&t.classes, t.scratch)
-	var timely, late *offer
+	var timely, late, vain *offer
 	for _, o := range t.scratch {
 		if !o.fair(slack) {
 			continue
 		}
-		due := o.due()
-		if due.Before(now.Add(expect(o.Class.Name))) {
-			if late == nil || o.older(late) {
-				late = o
+		switch due := o.due(); {
+		case !due.Before(now.Add(times.expect(o.Class.Name))):
+			if timely == nil || due.Before(timely.due()) {
+				timely = o
 			}
-			continue
-		}
-		if timely == nil || due.Before(timely.due()) {
-			timely = o
+		case o.inVain(now, times):
+			if vain == nil || o.older(vain) {
+				vain = o
+			}
+		case late == nil || o.older(late):
+			late = o
 		}
 	}
-	if timely != nil {
-		return timely
-	}
-	return late
+	return cmp.Or(timely, late, vain)
 }
 
 // fair says that neither class nor account is too far ahead.
