--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -104,7 +104,7 @@
 }
 
 // settle parks an offer that got no grant at once, or makes room for it.
-func (c *Core) settle(now time.Time) {
+func (c *Core) settle() {
 	o := c.arrived
 	if o == nil || o.phase != parked {
 		return
@@ -120,8 +120,6 @@
 		return
 	}
 	c.refuse(victim.ID, result.SidecarEvicted, queueRetryAfter)
-	// The victim may have been the solo offer that the rest drained for.
-	c.schedule(now)
 	if o.phase == parked {
 		c.emit(Park{ID: o.ID})
 	}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -27,6 +27,9 @@
 	maxKeyBytes = 255
 	// bodyTimeout bounds how long a caller may take to send its body.
 	bodyTimeout = 30 * time.Second
+	// unreadTimeout bounds how long the rest of a refused body is waited for, so
+	// that a caller still sending sees the refusal rather than a reset.
+	unreadTimeout = time.Second
 )
 
 // call is a caller's request that was understood.
@@ -115,10 +118,20 @@
 	return k, nil
 }
 
+// classOf gives the class that a caller names, empty for none.
+func classOf(h http.Header) (table.ClassName, error) {
+	values := h.Values(classHeader)
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return table.ClassName(values[0]), nil
+	default:
+		return "", result.Errorf(result.BadHeader, "%d headers %s, one is expected", len(values), classHeader)
+	}
+}
+
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBody))
 	var large *http.MaxBytesError
 	switch {
@@ -127,6 +140,8 @@
 	case err != nil:
 		return nil, result.Errorf(result.BadBody, "read body: %w", err)
 	}
+	// From here on a read only waits for the caller to hang up.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -143,9 +158,8 @@
 		return err
 	}
 	c.class = class
-	prefix := "/services/" + string(name)
-	c.path = "/" + strings.TrimPrefix(strings.TrimPrefix(c.path, prefix), "/")
-	return nil
+	c.path, err = servicePath(c.path, name)
+	return err
 }
 
 func (c *call) classifyCompletion(t *table.Table, r *http.Request) error {
@@ -164,7 +178,11 @@
 	if len(t.UpstreamsServing(table.Engine, c.model)) == 0 {
 		return result.Errorf(result.UnknownModel, "model %q", c.model)
 	}
-	class, err := t.ClassFor(c.account, table.Engine, table.ClassName(r.Header.Get(classHeader)))
+	explicit, err := classOf(r.Header)
+	if err != nil {
+		return err
+	}
+	class, err := t.ClassFor(c.account, table.Engine, explicit)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -190,6 +190,7 @@
 // tell hands a message to the core and carries out its effects.
 func (r *run) tell(ctx context.Context, a arrival) {
 	r.last = a
+	r.traceArrival(a)
 	if a.death != "" {
 		r.suspected = true
 		r.gateway.Suspects.Died(time.Now(), a.death, []*wire.Offer{r.offer})
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -81,6 +81,13 @@
 	tr.Ended = true
 }
 
+// refused keeps a call that its account's limits turned away.
+func (t *traces) refused(c *call, code result.Code) {
+	tr := t.begin(c)
+	tr.step("refused", "", code)
+	t.end(tr)
+}
+
 // Trace gives the path of a recent request; false if it is not kept.
 func (g *Gateway) Trace(id dispatch.RequestID) (Trace, bool) {
 	g.traces.mu.Lock()
@@ -95,3 +102,26 @@
 	kept.Steps = append([]TraceStep(nil), t.Steps...)
 	return kept, true
 }
+
+// traceArrival notes how an attempt ended.
+func (r *run) traceArrival(a arrival) {
+	switch m := a.message.(type) {
+	case dispatch.Parked:
+		r.trace.step("parked", r.vmOf(m.Attempt), result.OK)
+	case dispatch.Refused:
+		r.trace.step("attempt_refused", r.vmOf(m.Attempt), m.Code)
+	case dispatch.Ended:
+		r.trace.step("attempt_ended", r.vmOf(m.Attempt), m.Code)
+	case dispatch.Lost:
+		r.trace.step("attempt_lost", r.vmOf(m.Attempt), result.SidecarLost)
+	case dispatch.Silent:
+		r.trace.step("attempt_silent", r.vmOf(m.Attempt), result.SidecarUnreached)
+	}
+}
+
+func (r *run) vmOf(n dispatch.AttemptNumber) fleet.VMName {
+	if s := r.streams[n]; s != nil {
+		return s.candidate.VM
+	}
+	return ""
+}
