Measure slopes in a window of their own

Cause: bytes were counted from before the warm-up, so what a fresh gateway fetches once stood in the rate. The gateway that the slopes watch also waited for other gateways to count it, which the fake now does. Change: warm up first, then count; the fake counts every gateway in.

--- a/cmd/jasminewing/slopes_test.go
+++ b/cmd/jasminewing/slopes_test.go
@@ -62,12 +62,11 @@
 }
 
 // watch gives the share of a core that the process takes, in percent, and its
-// memory after the window.
+// memory after the window. These are real processes, so the time is real too.
 func (p *proc) watch() (percent float64, after usage) {
-	time.Sleep(slopeWarmUp)
 	before := p.used()
 	begin := time.Now()
-	time.Sleep(slopeWindow)
+	<-time.After(slopeWindow)
 	after = p.used()
 	return 100 * (after.cpu - before.cpu) / time.Since(begin).Seconds(), after
 }
@@ -163,6 +162,11 @@
 	return &wire.ClaimReply{}, nil
 }
 
+// counts counts every gateway in.
+type counts struct{}
+
+func (counts) Count(_ time.Time, gateways []string) []string { return gateways }
+
 func startFake(c *cluster) *fakeFleet {
 	l, err := net.Listen("tcp", loopback)
 	assert.NilError(c.t, err)
@@ -173,6 +177,7 @@
 		Config:      &platform.Config{Client: platform.Client{Base: "http://" + c.configAddr}},
 		VMs:         &platform.VMs{Client: platform.Client{Base: "http://" + c.vmListAddr}},
 		Peers:       mute{},
+		Gateways:    counts{},
 		Parse:       func([]fleet.Value) (*table.Table, error) { return &table.Table{}, nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -302,6 +307,7 @@
 	defer cancel()
 	go callPeer(ctx, string(p.vm.Address), 2)
 	go s.edit(ctx, c)
+	<-time.After(slopeWarmUp)
 	before := fake.total()
 	begin := time.Now()
 	percent, after := p.watch()
--- a/cmd/jasminewing/traffic_slopes_test.go
+++ b/cmd/jasminewing/traffic_slopes_test.go
@@ -77,6 +77,7 @@
 	var tokens atomic.Int64
 	openStreams(ctx, &g, gateway.callers, streams, &tokens)
 	c.await("tokens", func() bool { return tokens.Load() >= int64(streams) })
+	<-time.After(slopeWarmUp)
 	before := sidecar.used()
 	begin, counted := time.Now(), tokens.Load()
 	percent, after := gateway.watch()
@@ -118,6 +119,7 @@
 	var tokens atomic.Int64
 	openStreams(ctx, &g, gateway.callers, parked+1, &tokens)
 	c.await("queue", func() bool { return int(sidecar.metric("jasminewing_upstream_parked")) == parked })
+	<-time.After(slopeWarmUp)
 	before := sidecar.used()
 	begin := time.Now()
 	percent, after := gateway.watch()
@@ -173,6 +175,7 @@
 			}
 		}
 	}()
+	<-time.After(slopeWarmUp)
 	before := sidecar.used()
 	begin, counted := time.Now(), done.Load()
 	percent, _ := gateway.watch()
@@ -226,9 +229,10 @@
 			}
 		})
 	}
-	begin := time.Now()
+	<-time.After(slopeWarmUp)
+	begin, heard := time.Now(), reports.Load()
 	percent, after := sidecar.watch()
-	b.ReportMetric(float64(reports.Load())/time.Since(begin).Seconds(), "reports/s")
+	b.ReportMetric(float64(reports.Load()-heard)/time.Since(begin).Seconds(), "reports/s")
 	b.ReportMetric(percent, "cpu-%")
 	b.ReportMetric(after.resident/1e6, "resident-MB")
 	cancel()
