Let an upstream's row say what its engine is to load

Operators change weights by orders to engines, and the table had no place for them. A column of several names was ruled out: one order at a time is what a fencing number can tell apart. The whole table's revision was ruled out as the number: it also grows with accounts, so an old upstreams sheet beside new accounts would have numbered an old order above a newer one.

Change: an optional column load for engines, and the revision of the section upstreams in the parsed table.

Conclusion: pkg/table's tests pass; a table without the column parses as before.

--- a/pkg/table/column.go
+++ b/pkg/table/column.go
@@ -66,6 +66,10 @@
 		name: "checks_fencing", fallback: "no", text: "whether the engine refuses orders with an old fencing number",
 		kind: yesNoKind(func(r *Upstream) *bool { return &r.ChecksFencing }),
 	},
+	{
+		name: "load", derived: "none", text: "what the engine is ordered to load, such as `draft@v7`; empty for no orders, as for `plain`",
+		kind: nameKind(func(r *Upstream) *LoadName { return &r.Load }, loadName),
+	},
 	{
 		name: "state", fallback: string(In), text: "`out` gives it no new work; what runs is finished",
 		kind: choiceKind(func(r *Upstream) *State { return &r.State }, In, Out),
--- a/pkg/table/kind.go
+++ b/pkg/table/kind.go
@@ -19,6 +19,8 @@
 var (
 	plainName   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 	serviceName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]*$`)
+	// loadName may name a version after an at sign.
+	loadName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@-]*$`)
 )
 
 // kind reads and writes one cell of a row.
@@ -81,8 +83,11 @@
 }
 
 func shapeText(shape *regexp.Regexp) string {
-	if shape == serviceName {
+	switch shape {
+	case serviceName:
 		return "A-Z a-z 0-9 . _ - : /"
+	case loadName:
+		return "A-Z a-z 0-9 . _ - : / @"
 	}
 	return "A-Z a-z 0-9 . _ -"
 }
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -15,11 +15,13 @@
 
 // draft is a table while it is being read.
 type draft struct {
-	revision    Revision
-	dataCentres []row[DataCentre]
-	classes     []row[Class]
-	upstreams   []row[Upstream]
-	accounts    []row[Account]
+	revision Revision
+	// upstreamsRevision is that of the section upstreams.
+	upstreamsRevision Revision
+	dataCentres       []row[DataCentre]
+	classes           []row[Class]
+	upstreams         []row[Upstream]
+	accounts          []row[Account]
 	// unread holds the sections of which not all rows are known.
 	unread map[string]bool
 	faults []Fault
@@ -85,6 +87,7 @@
 	case ClassesSection:
 		readInto(d, &d.classes, sh, classColumns)
 	case UpstreamsSection:
+		d.upstreamsRevision = s.Revision
 		readInto(d, &d.upstreams, sh, upstreamColumns)
 	case AccountsSection:
 		readInto(d, &d.accounts, sh, accountColumns)
@@ -145,11 +148,12 @@
 
 func (d *draft) table() *Table {
 	t := &Table{
-		Revision:    d.revision,
-		DataCentres: make(map[DataCentreName]DataCentre, len(d.dataCentres)),
-		Upstreams:   make(map[UpstreamName]Upstream, len(d.upstreams)),
-		Classes:     make(map[ClassName]Class, len(d.classes)),
-		Accounts:    make(map[AccountName]Account, len(d.accounts)),
+		Revision:          d.revision,
+		UpstreamsRevision: d.upstreamsRevision,
+		DataCentres:       make(map[DataCentreName]DataCentre, len(d.dataCentres)),
+		Upstreams:         make(map[UpstreamName]Upstream, len(d.upstreams)),
+		Classes:           make(map[ClassName]Class, len(d.classes)),
+		Accounts:          make(map[AccountName]Account, len(d.accounts)),
 	}
 	for _, r := range d.dataCentres {
 		t.DataCentres[r.value.Name] = r.value
--- a/pkg/table/parse_test.go
+++ b/pkg/table/parse_test.go
@@ -48,6 +48,7 @@
 func TestParseWhole(t *testing.T) {
 	tb := mustParse(t, someSections())
 	assert.Equal(t, tb.Revision, Revision(9))
+	assert.Equal(t, tb.UpstreamsRevision, Revision(4))
 	assert.Equal(t, tb.Classes["booking"].MaxWait, tb.Classes["booking"].Deadline/4)
 	assert.Equal(t, tb.Accounts["walker"].Burst, 3)
 	assert.Equal(t, tb.Upstreams["desk_a"].State, In)
@@ -98,3 +99,32 @@
 	u.State = Out
 	assert.Equal(t, tb.WhyOut(u), result.UpstreamOut)
 }
+
+// What an engine is to load is a name with a version; a plain upstream has none.
+func TestLoad(t *testing.T) {
+	const header = "name,data_centre,kind,serves,limit,load\n"
+	const desk = "desk_a,dc_a,plain,desk,4,\n"
+	tests := []struct {
+		name, rows string
+		want       LoadName
+		code       result.Code
+	}{
+		{"version", "draft_a,dc_a,engine,mini,8,draft@v7\n" + desk, "draft@v7", result.OK},
+		{"none", "draft_a,dc_a,engine,mini,8,\n" + desk, "", result.OK},
+		{"two", "draft_a,dc_a,engine,mini,8,a b\n" + desk, "", result.BadCell},
+		{"plain", "draft_a,dc_a,engine,mini,8,\ndesk_a,dc_a,plain,desk,4,desk@v1\n", "", result.InconsistentRow},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, faults := Parse(with(UpstreamsSection, header+tt.rows))
+			if tt.code != result.OK {
+				assert.Equal(t, len(faults), 1, "%v", faults)
+				assert.Equal(t, faults[0].Code, tt.code)
+				assert.Equal(t, faults[0].Column, "load")
+				return
+			}
+			assert.Equal(t, len(faults), 0, "%v", faults)
+			assert.Equal(t, tb.Upstreams["draft_a"].Load, tt.want)
+		})
+	}
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -30,6 +30,9 @@
 	DataCentreName string
 	// RegionName names a region of data centres.
 	RegionName string
+	// LoadName names what an engine is to hold loaded: a model, an adapter or a
+	// version.
+	LoadName string
 	// ServiceName names what an upstream serves: a model or a plain service.
 	ServiceName string
 	// KeyHash is the SHA-256 of a client account's bearer key.
@@ -87,7 +90,9 @@
 	ColdLimit int
 	// ChecksFencing says that the engine refuses orders with an old number.
 	ChecksFencing bool
-	State         State
+	// Load is what the engine is ordered to load; empty for no orders.
+	Load  LoadName
+	State State
 }
 
 // Class is a row of the section classes.
@@ -140,11 +145,14 @@
 // by many at once.
 type Table struct {
 	// Revision is the highest revision of the values it was made from.
-	Revision    Revision
-	DataCentres map[DataCentreName]DataCentre
-	Upstreams   map[UpstreamName]Upstream
-	Classes     map[ClassName]Class
-	Accounts    map[AccountName]Account
+	Revision Revision
+	// UpstreamsRevision is the revision of the section upstreams. It only grows
+	// with edits of that section, so it numbers the orders that its rows cause.
+	UpstreamsRevision Revision
+	DataCentres       map[DataCentreName]DataCentre
+	Upstreams         map[UpstreamName]Upstream
+	Classes           map[ClassName]Class
+	Accounts          map[AccountName]Account
 
 	once    sync.Once
 	indexed *index
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -57,6 +57,9 @@
 		if u.Kind == Plain && len(u.Serves) != 1 {
 			d.faults = append(d.faults, r.fault("serves", result.InconsistentRow, "a plain upstream serves one service, not %d", len(u.Serves)))
 		}
+		if u.Kind == Plain && u.Load != "" {
+			d.faults = append(d.faults, r.fault("load", result.InconsistentRow, "a plain upstream takes no orders"))
+		}
 		if u.ColdLimit > u.Limit {
 			d.faults = append(d.faults, r.fault("cold_limit", result.InconsistentRow, "%d is above the limit of %d", u.ColdLimit, u.Limit))
 		}
