Give engines their orders by the sidecar beside them

The core of orders had no sockets round it. Ruled out: giving orders from the admission task, which must never wait for an engine; asking for the engine's health only at the next poll after an order, for a quarter of a second's grants would meet what was just loaded as if it were warm.

Change: a task beside the admitter owns the core, renews its view after a pause before it gives what was pending, and counts and logs each order. A load that an engine tells of makes it cold as a restart does. The stand-in's engine obeys orders to load and tells what it holds once it has.

--- a/internal/engine/poll.go
+++ b/internal/engine/poll.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
 )
 
 const maxPollBytes = 64 << 10
@@ -21,6 +22,10 @@
 	Draining bool
 	// Instance changes when the engine restarts; empty if it does not say.
 	Instance string
+	// TellsLoaded says that it tells what it holds loaded.
+	TellsLoaded bool
+	// Loaded is what it holds loaded; empty for nothing.
+	Loaded table.LoadName
 }
 
 // Load is an engine's report of its load, which may lag.
@@ -41,6 +46,8 @@
 type healthAnswer struct {
 	Status   string `json:"status"`
 	Instance string `json:"instance"`
+	// Loaded is nil of an engine that does not tell.
+	Loaded *table.LoadName `json:"loaded"`
 }
 
 // Health asks the upstream how it is. One that answers but has no such page, as
@@ -56,7 +63,11 @@
 		return Health{}, err
 	}
 	c.instance.Store(&a.Instance)
-	return Health{Up: a.Status == "ok", Draining: a.Status == "draining", Instance: a.Instance}, nil
+	h := Health{Up: a.Status == "ok", Draining: a.Status == "draining", Instance: a.Instance}
+	if a.Loaded != nil {
+		h.TellsLoaded, h.Loaded = true, *a.Loaded
+	}
+	return h, nil
 }
 
 // Load asks the engine for its load.
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -12,6 +12,7 @@
 	"jasminewing.dev/jasminewing/internal/engine"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/order"
 	"jasminewing.dev/jasminewing/internal/setting"
 	"jasminewing.dev/jasminewing/internal/sidecar"
 	"jasminewing.dev/jasminewing/internal/suspect"
@@ -34,7 +35,7 @@
 	return fx.New(
 		options(p.Settings.StopLimit.Duration),
 		fx.Supply(p, p.Log, &p.Settings.Common),
-		fx.Provide(newDialer, newFleet, p.self, p.open, p.upstream, p.keys, p.sidecar, p.api),
+		fx.Provide(newDialer, newFleet, p.self, p.open, p.upstream, p.keys, p.orders, p.sidecar, p.api),
 		fx.Invoke(p.run),
 	)
 }
@@ -81,7 +82,18 @@
 	}
 }
 
-func (p *Sidecar) sidecar(f *fleet.Task, k *sidecar.Keys, c *engine.Client, b *suspect.Book, inc fleet.Incarnation) *sidecar.Sidecar {
+func (p *Sidecar) orders(f *fleet.Task, c *engine.Client) *sidecar.Orders {
+	return &sidecar.Orders{
+		Core:         order.Core{LoadsPerMinute: p.Settings.WeightLoadsPerMinute.N},
+		Fleet:        f,
+		Engine:       c,
+		Log:          p.Log,
+		VM:           p.Settings.Name,
+		UpstreamName: p.Settings.UpstreamName,
+	}
+}
+
+func (p *Sidecar) sidecar(f *fleet.Task, k *sidecar.Keys, o *sidecar.Orders, c *engine.Client, b *suspect.Book, inc fleet.Incarnation) *sidecar.Sidecar {
 	s := &sidecar.Sidecar{
 		UpstreamName: p.Settings.UpstreamName,
 		VM:           p.Settings.Name,
@@ -89,6 +101,7 @@
 		Fleet:        f,
 		Upstream:     c,
 		Keys:         k,
+		Orders:       o,
 		Suspects:     b,
 		Log:          p.Log,
 		MaxBody:      p.Settings.MaxBody.N,
--- a/internal/setting/sidecar.go
+++ b/internal/setting/sidecar.go
@@ -18,12 +18,16 @@
 
 	MaxParked Count `long:"max-parked" env:"JASMINEWING_MAX_PARKED" value-name:"N" default:"1024" description:"most offers that wait here"`
 	MaxKeys   Count `long:"max-keys" env:"JASMINEWING_MAX_KEYS" value-name:"N" default:"100000" description:"most idempotency keys that are remembered"`
+
+	WeightLoadsPerMinute Count `long:"weight-loads-per-minute" env:"JASMINEWING_WEIGHT_LOADS_PER_MINUTE" value-name:"N" default:"60" description:"how many loads from the weight store all sidecars together begin in a minute; the same for all of them"`
 }
 
 // Bounds of a sidecar's settings.
 const (
 	maxParked = 1_000_000
 	maxKeys   = 10_000_000
+	// maxWeightLoads keeps slots of time longer than a sidecar's ticks.
+	maxWeightLoads = 600
 )
 
 // Validate gives all faults, in the order of settings. Each is a *result.Error
@@ -37,6 +41,7 @@
 	k.remote("upstream-address", s.UpstreamAddress)
 	k.count("max-parked", s.MaxParked, 1, maxParked)
 	k.count("max-keys", s.MaxKeys, 1, maxKeys)
+	k.count("weight-loads-per-minute", s.WeightLoadsPerMinute, 1, maxWeightLoads)
 	return k.errs
 }
 
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -59,6 +59,8 @@
 	was, wasUp := s.health, s.up
 	up := err == nil && h.Up && !h.Draining
 	restarted := err == nil && was.Instance != "" && h.Instance != was.Instance
+	// What it has just loaded is as cold as a restart.
+	reloaded := err == nil && was != (engine.Health{}) && h.TellsLoaded && h.Loaded != was.Loaded
 	s.up = up
 	if err == nil {
 		s.health = h
@@ -69,14 +71,25 @@
 	}
 	s.healthMu.Unlock()
 
-	if up == wasUp && !restarted {
+	s.Orders.noteHealth(h, err)
+	if up == wasUp && !restarted && !reloaded {
 		return
 	}
-	s.admitter.tellCore(admission.HealthChanged{Up: up, Restarted: restarted})
+	s.admitter.tellCore(admission.HealthChanged{Up: up, Restarted: restarted || reloaded})
 	if restarted {
 		s.noteDeath(was.Instance, s.flights.all())
 	}
-	s.logHealth(up, downAt, err)
+	if up != wasUp || restarted {
+		s.logHealth(up, downAt, err)
+	}
+}
+
+// lookAfterOrder asks the upstream for its health at once, so that work meets
+// what it has just loaded as cold.
+func (s *Sidecar) lookAfterOrder(ctx context.Context) {
+	if h, err := s.askHealth(ctx); err == nil {
+		s.noteHealth(h, nil)
+	}
 }
 
 func (s *Sidecar) logHealth(up bool, downAt time.Time, err error) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -19,6 +19,7 @@
 	for _, i := range result.All() {
 		m.set.NewCounter(refusalName(i.Code))
 		m.set.NewCounter(endName(i.Code))
+		m.set.NewCounter(orderName(i.Code))
 	}
 	gauges := []struct {
 		name  string
@@ -43,10 +44,16 @@
 	return fmt.Sprintf("jasminewing_sidecar_ends_total{code=%q,name=%q}", fmt.Sprint(int(c)), c)
 }
 
+func orderName(c result.Code) string {
+	return fmt.Sprintf("jasminewing_sidecar_orders_total{code=%q,name=%q}", fmt.Sprint(int(c)), c)
+}
+
 func (m *metricSet) refusal(c result.Code) { m.set.GetOrCreateCounter(refusalName(c)).Inc() }
 
 func (m *metricSet) end(c result.Code) { m.set.GetOrCreateCounter(endName(c)).Inc() }
 
+func (m *metricSet) order(c result.Code) { m.set.GetOrCreateCounter(orderName(c)).Inc() }
+
 func oneIf(holds bool) int {
 	if holds {
 		return 1
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -81,6 +81,7 @@
 	Fleet        Fleet
 	Upstream     Upstream
 	Keys         *Keys
+	Orders       *Orders
 	Suspects     Suspects
 	Log          *event.Log
 	MaxBody      int64
@@ -110,6 +111,8 @@
 	s.admitter.init()
 	s.metrics.init(s)
 	s.Keys.Init()
+	s.Orders.count, s.Orders.look = s.metrics.order, s.lookAfterOrder
+	s.Orders.Init()
 }
 
 // Run works until ctx ends. When drain closes it takes no new work, lets what
@@ -122,6 +125,7 @@
 	g.Go(func() error { return s.followFleet(ctx) })
 	g.Go(func() error { return s.followHealth(ctx) })
 	g.Go(func() error { return s.Keys.Run(ctx) })
+	g.Go(func() error { return s.Orders.Run(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		s.awaitDrain(ctx, drain)
@@ -139,6 +143,7 @@
 	s.Log.Write(event.UpstreamLeaves, "upstream", s.UpstreamName, "reason", "stop_signal")
 	s.admitter.tellCore(admission.LeaveAsked{})
 	s.Keys.Drain()
+	s.Orders.Drain()
 	settle := time.NewTimer(drainSettle)
 	defer settle.Stop()
 	select {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	defaultMostTokens  = 64
 )
 
+// loadOrder begins an order to load; what to load follows.
+const loadOrder = "load "
+
 // Engine is a model engine that batches continuously. Its fields are set before
 // use. Times of zero are no time at all.
 type Engine struct {
@@ -68,6 +72,8 @@
 	readyAt    time.Time
 	batch      *batch
 	fencing    uint64
+	// loaded is nil until an order to load was taken.
+	loaded *string
 }
 
 // batch is what runs together until all of it is ended.
@@ -156,11 +162,13 @@
 type healthReport struct {
 	Status   string `json:"status"`
 	Instance string `json:"instance"`
+	// Loaded is what the last order loaded.
+	Loaded *string `json:"loaded,omitempty"`
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	h := healthReport{Status: "ok", Instance: e.instance()}
+	h := healthReport{Status: "ok", Instance: e.instance(), Loaded: e.state.loaded}
 	switch {
 	case time.Now().Before(e.state.readyAt):
 		h.Status = "loading"
@@ -198,6 +206,7 @@
 	} else {
 		e.state.fencing = max(e.state.fencing, o.Fencing)
 		e.stats.Orders = append(e.stats.Orders, o.Order)
+		e.obey(o.Order)
 	}
 	e.mu.Unlock()
 	if old && e.ChecksFencing {
@@ -207,6 +216,16 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
+// obey loads what an order says. The engine is cold after it.
+func (e *Engine) obey(order string) {
+	load, ok := strings.CutPrefix(order, loadOrder)
+	if !ok || e.state.loaded != nil && *e.state.loaded == load {
+		return
+	}
+	e.state.loaded = &load
+	e.state.cold, e.state.clean = e.ColdSlots > 0, 0
+}
+
 func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, e.Stats())
 }
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -69,6 +69,9 @@
 	e.stats.Crashes++
 	e.abortAll(true)
 	e.state.generation++
+	if e.state.loaded != nil {
+		e.state.loaded = new(string)
+	}
 	e.state.cold, e.state.clean = e.ColdSlots > 0, 0
 	e.state.downUntil = now.Add(e.RestartAfter)
 	e.state.readyAt = e.state.downUntil.Add(e.LoadFor)
