--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -134,7 +134,7 @@
 // An order that was decided on before a pause and not sent yet is not given.
 func TestOrderHeldUpByPause(t *testing.T) {
 	e := &takesAll{}
-	o := &Orders{Engine: e}
+	o := &Orders{Engine: e, look: func(context.Context) {}}
 	o.Init()
 	o.calls.Add(1)
 	o.give(t.Context(), order.Order{Load: "draft@v1", Fencing: 4}, time.Now().Add(-2*pauseGap))
