Show how many offers late binding makes for a request

Cause: widening and more open offers cost messages, and no figure showed them. Ruled out: counting messages of every kind: offers drive all others.

--- a/internal/measure/call.go
+++ b/internal/measure/call.go
@@ -102,6 +102,7 @@
 func (c *call) offer(e dispatch.Offer) {
 	a := &attempt{call: c, door: c.world.door(e.Candidate), number: e.Attempt, offset: e.ResumeOffset}
 	c.attempts[e.Attempt] = a
+	c.world.offers++
 	c.gateway.pool.Begin(e.Candidate)
 	if c.world.policy.pushes() {
 		a.reply(0, dispatch.Granted{Attempt: a.number})
--- a/internal/measure/markdown.go
+++ b/internal/measure/markdown.go
@@ -28,7 +28,7 @@
 	for _, t := range d.Traffic {
 		columns = append(columns, fmt.Sprintf("%s (tier %d), %%", t.Class, d.Table.Classes[t.Class].Tier))
 	}
-	columns = append(columns, "goodput, tokens/s", "wasted, %", "longest wait, s", "passed over", "cold overloads", "falls", "work when out")
+	columns = append(columns, "goodput, tokens/s", "wasted, %", "longest wait, s", "passed over", "cold overloads", "falls", "work when out", "offers a request")
 	writeCells(text, columns)
 	rule := make([]string, len(columns))
 	for i := range rule {
@@ -53,6 +53,7 @@
 		counts(c.Count(func(s *Score) int { return s.ColdOverloads })),
 		counts(c.Count(func(s *Score) int { return s.Falls })),
 		counts(c.Count(func(s *Score) int { return s.OutWork })),
+		fmt.Sprintf("%.2f", c.spread(func(s *Score) float64 { return s.Offers }, false).Median),
 	)
 	writeCells(text, columns)
 }
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -50,6 +50,8 @@
 	// ColdOverloads counts requests that a cold engine was given above its cold
 	// limit, Falls how often it fell over for them.
 	ColdOverloads, Falls int
+	// Offers is how many offers gateways made for a request, in the mean.
+	Offers float64
 	// OutWork counts requests given to a data centre later than mostSpread after
 	// it was taken out.
 	OutWork int
@@ -108,6 +110,9 @@
 	return c.began.Sub(c.arrived)
 }
 
+// offers takes the counts of all gateways.
+func (s *Score) offers(w *world) { s.Offers = float64(w.offers) / float64(max(w.calls, 1)) }
+
 func (s *Score) engine(d *door) {
 	s.Passed = max(s.Passed, d.passes.longest)
 	s.PassedPart = max(s.PassedPart, d.passes.most)
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -81,9 +81,10 @@
 	gateways   []*gateway
 	doors      []*door
 	// out holds since when a data centre is out.
-	out   map[table.DataCentreName]time.Time
-	calls int
-	score *Score
+	out map[table.DataCentreName]time.Time
+	// calls and offers count what callers and gateways began.
+	calls, offers int
+	score         *Score
 }
 
 func (w *world) windowStart() time.Time { return w.start.Add(w.warmUp) }
@@ -234,6 +235,7 @@
 
 // close counts what is still open as lost.
 func (w *world) close() {
+	w.score.offers(w)
 	for _, d := range w.doors {
 		w.score.engine(d)
 	}
