Widen after 5 ms, longer than a round trip between data centres

Change: the default of WidenAfter; the sessions' times follow, their messages and effects are the same.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -11,7 +11,7 @@
 const (
 	// defaultWidenAfter is how long an offer may wait before another sidecar
 	// is asked as well.
-	defaultWidenAfter = 2 * time.Millisecond
+	defaultWidenAfter = 5 * time.Millisecond
 	// defaultRoundPause is the wait before candidates that refused are asked again.
 	defaultRoundPause = 100 * time.Millisecond
 	// defaultMaxOpen is how many offers of one request wait at once.
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -76,15 +76,15 @@
 			s := newSession(draft, "a", "b", "c", "d")
 			s.at(0, Started{})
 			s.at(ms, Parked{1})
-			s.at(2*ms, Ticked{})
-			s.at(4*ms, Ticked{})
-			s.at(6*ms, Ticked{})
-			s.at(7*ms, Granted{2})
-			s.at(8*ms, Granted{1})
-			s.at(9*ms, ChunkCame{1, 5})
-			s.at(10*ms, Ended{Attempt: 1, Complete: true})
-			s.at(11*ms, Ended{Attempt: 2, Complete: true})
-			s.at(12*ms, Granted{3})
+			s.at(5*ms, Ticked{})
+			s.at(10*ms, Ticked{})
+			s.at(15*ms, Ticked{})
+			s.at(16*ms, Granted{2})
+			s.at(17*ms, Granted{1})
+			s.at(18*ms, ChunkCame{1, 5})
+			s.at(19*ms, Ended{Attempt: 1, Complete: true})
+			s.at(20*ms, Ended{Attempt: 2, Complete: true})
+			s.at(21*ms, Granted{3})
 			return s
 		}},
 		{"all_refuse_then_rounds", func() *session {
@@ -232,9 +232,9 @@
 		{"caller_gone", func() *session {
 			s := newSession(draft, "a", "b")
 			s.at(0, Started{})
-			s.at(2*ms, Ticked{})
-			s.at(3*ms, Granted{2})
-			s.at(4*ms, CallerGone{})
+			s.at(5*ms, Ticked{})
+			s.at(6*ms, Granted{2})
+			s.at(7*ms, CallerGone{})
 			return s
 		}},
 	}
