Keep four offers of a request open

Cause: under a flood a short question waited where three sidecars were busy while a slot came free at a fourth. Change: the default of MaxOpen; the session of widening has one step more.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -15,7 +15,7 @@
 	// defaultRoundPause is the wait before candidates that refused are asked again.
 	defaultRoundPause = 100 * time.Millisecond
 	// defaultMaxOpen is how many offers of one request wait at once.
-	defaultMaxOpen = 3
+	defaultMaxOpen = 4
 	// defaultRounds is how often all candidates are asked before the request
 	// is refused.
 	defaultRounds = 5
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -73,18 +73,19 @@
 			return s
 		}},
 		{"widened_and_late_grant", func() *session {
-			s := newSession(draft, "a", "b", "c", "d")
+			s := newSession(draft, "a", "b", "c", "d", "e")
 			s.at(0, Started{})
 			s.at(ms, Parked{1})
 			s.at(5*ms, Ticked{})
 			s.at(10*ms, Ticked{})
 			s.at(15*ms, Ticked{})
-			s.at(16*ms, Granted{2})
-			s.at(17*ms, Granted{1})
-			s.at(18*ms, ChunkCame{1, 5})
-			s.at(19*ms, Ended{Attempt: 1, Complete: true})
-			s.at(20*ms, Ended{Attempt: 2, Complete: true})
-			s.at(21*ms, Granted{3})
+			s.at(20*ms, Ticked{})
+			s.at(21*ms, Granted{2})
+			s.at(22*ms, Granted{1})
+			s.at(23*ms, ChunkCame{1, 5})
+			s.at(24*ms, Ended{Attempt: 1, Complete: true})
+			s.at(25*ms, Ended{Attempt: 2, Complete: true})
+			s.at(26*ms, Granted{3})
 			return s
 		}},
 		{"all_refuse_then_rounds", func() *session {
