Earn a turn by the class's usual length where it is more

Cause: under the flood tier 3 held 17 to 21 % of Ahmedabad's slots where one token in eight is meant: of all overdue offers those go first that have earned their turn, which are those of accounts whose last answers were short by chance. Ruled out: paying for the turn by its real length (a random test forbids the earlier turns that this gives, and rows of 2422 grants went over tier 3). Change: a turn is earned by the larger of the account's and the class's estimate.

--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -31,7 +31,9 @@
 	sequence uint64
 	phase    phase
 	// cost is what the offer's shares are charged, in tokens.
-	cost    float64
+	cost float64
+	// turnCost is what others must have had a share's multiple of for its turn.
+	turnCost float64
 	class   *share
 	account *share
 	lapses  time.Time
@@ -106,6 +108,7 @@
 	}
 	o.bound()
 	o.cost = c.estimates.guess(o.Class, o.Account, o.Cost)
+	o.turnCost = max(o.cost, c.estimates.guess(o.Class, "", o.Cost))
 	c.offers[m.ID] = o
 	c.queue.add(now, o)
 	c.arrived = o
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -332,3 +332,35 @@
 	assert.DeepEqual(t, s.running(), []OfferID{soon})
 	s.golden()
 }
+
+// The turn of an account whose answers were short is earned by its class's usual
+// length, for its next answer may be as long.
+func TestTurnByTheClassWhereLonger(t *testing.T) {
+	s := newSession(t, 1, 1)
+	s.warmQuietly(booth)
+	long := summary
+	long.MaxTokens = 100
+	teach := func(account table.AccountName, n int, tokens table.Tokens) {
+		s.offer(long, account, n)
+		end := clean(long)
+		end.Tokens = tokens
+		s.finish(n, end)
+	}
+	teach("ward", 1, 10)
+	teach("office", 12, 95)
+	s.offer(booth, "vendor", 1)
+	s.run()
+	s.offer(long, "ward", 2)
+	s.wait(6 * time.Second)
+	s.note("the class usually takes 89 tokens, the account took 10; others take 50")
+	var turns []int
+	for n := range 14 {
+		s.offer(booth, "vendor", 1)
+		s.finish(1, clean(booth))
+		if s.core.inFlight[0].Class.Name == long.Name {
+			turns = append(turns, n)
+		}
+	}
+	assert.DeepEqual(t, turns, []int{5, 12})
+	s.golden()
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -159,9 +159,11 @@
 }
 
 // earned says that enough went to others for o to have its tier's turn: one in N
-// of the grants, and of the tokens too, so that a long answer waits longer.
+// of the grants, and of the tokens too, so that a long answer waits longer. Its
+// tokens are the class's usual ones where its account is expected to take fewer:
+// turns would else go to those of whom too little is expected.
 func (t *tierQueue) earned(o *offer) bool {
-	return t.sinceTurn >= o.others && t.tokensSince >= float64(o.others)*o.cost
+	return t.sinceTurn >= o.others && t.tokensSince >= float64(o.others)*o.turnCost
 }
 
 // next gives the offer of a tier that goes first: of those within their fair
