--- a/cmd/jasminewing/logs_test.go
+++ b/cmd/jasminewing/logs_test.go
@@ -18,6 +18,7 @@
 // No log line of a session with failures of every kind holds a body, a key or a
 // secret, and each is JSON of a numbered event.
 func TestLogsHoldNoSecret(t *testing.T) {
+	t.Parallel()
 	const (
 		bodyText   = "vendor-words-7731"
 		answerText = "answer-words-7732"
--- a/cmd/jasminewing/session_test.go
+++ b/cmd/jasminewing/session_test.go
@@ -41,6 +41,7 @@
 // A whole session with every part a process of its own: two gateways, three
 // sidecars, and the stand-ins.
 func TestSession(t *testing.T) {
+	t.Parallel()
 	program := standinProgram(t)
 	c := newCluster(t)
 	_, engine1 := standinProcess(t, program, 1, "engine")
--- a/cmd/jasminewing/status_test.go
+++ b/cmd/jasminewing/status_test.go
@@ -37,6 +37,7 @@
 // A newcomer's walk: all well, a row broken and mended, a data centre out, an
 // upstream's process killed; `status` names the reason each time.
 func TestStatusNamesReasons(t *testing.T) {
+	t.Parallel()
 	program := standinProgram(t)
 	c := newCluster(t)
 	c.edit("upstreams", "draft_2,north,engine,draft,1,8,1,in,\n", "")
