Take what the keys' task was sent before its end

Cause: at a stop the task that owns the keys looked at the end of its context and at its inbox in any order. The outcome of the last booking, sent just before the end, was dropped at random, and with it the word to the witnesses: a repeat was told that the outcome is unknown although the answer was at hand.

Ruled out: an inbox that is closed, since senders of other tasks outlive it.

Change: at its end the task first takes what is in the inbox.

--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -86,6 +86,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			k.finishInbox(ctx)
 			return nil
 		case l := <-k.inbox:
 			k.take(ctx, l)
@@ -97,6 +98,19 @@
 	}
 }
 
+// finishInbox takes what came before the end: the outcome of the last run may
+// be among it.
+func (k *Keys) finishInbox(ctx context.Context) {
+	for {
+		select {
+		case l := <-k.inbox:
+			k.take(ctx, l)
+		default:
+			return
+		}
+	}
+}
+
 // view gives the members and the key window of the service, as they stand.
 func (k *Keys) view() booking.Message {
 	v := k.Fleet.View()
--- /dev/null
+++ b/internal/sidecar/keys_test.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/booking"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// noFleet knows nobody.
+type noFleet struct{}
+
+func (noFleet) View() *fleet.View                                       { return &fleet.View{} }
+func (noFleet) Changed() <-chan struct{}                                { return nil }
+func (noFleet) Behind(table.Revision, fleet.ListVersion, fleet.Address) {}
+func (noFleet) Renew(context.Context) error                             { return nil }
+
+// What came before the task's end is taken: the outcome of the last run of a
+// sidecar that stops would else be forgotten.
+func TestKeysTakeWhatCameBeforeTheEnd(t *testing.T) {
+	for range 32 {
+		k := &Keys{Fleet: noFleet{}, Core: booking.Core{Self: fleet.VM{Name: "vm_1"}}}
+		k.Init()
+		reply := make(chan *wire.ClaimReply, 1)
+		claim := &wire.ClaimRequest{Account: "market", Key: "key", Home: "vm_2", ClaimId: 1}
+		k.send(keyLetter{message: booking.ClaimCame{Ref: 1, Request: claim}, reply: reply})
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		assert.NilError(t, k.Run(ctx))
+		assert.Equal(t, len(reply), 1, "a claim was not answered")
+	}
+}
