--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -32,14 +32,14 @@
 func (c *Core) next(now time.Time) choice {
 	c.queue.suspectRuns = slices.ContainsFunc(c.inFlight, func(o *offer) bool { return o.Suspect })
 	slack := float64(c.FairSlack)
-	if ch := c.queue.turn(now, slack); ch.offer != nil {
+	if ch := c.queue.turn(now, slack, &c.timings); ch.offer != nil {
 		return ch
 	}
 	t := c.queue.highest()
 	if t == nil || c.kept(now, t.tier) {
 		return choice{}
 	}
-	return choice{offer: c.queue.next(now, t, slack, c.timings.expect)}
+	return choice{offer: c.queue.next(now, t, slack, &c.timings)}
 }
 
 // kept says that the slots left are kept for a higher tier that was here lately.
