--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -34,9 +34,9 @@
 	cost float64
 	// turnCost is what others must have had a share's multiple of for its turn.
 	turnCost float64
-	class   *share
-	account *share
-	lapses  time.Time
+	class    *share
+	account  *share
+	lapses   time.Time
 	// overdueAt is when the offer's wait passes its class's bound.
 	overdueAt time.Time
 	// others is how many grants of N go elsewhere between two turns.
