--- /dev/null
+++ b/internal/dispatch/offers.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// offerNext offers to the next candidate. With none left it waits for open
+// offers, or for the next round.
+func (a *Attempts) offerNext(now time.Time, effects []Effect) []Effect {
+	c, ok := a.Pick(now, a.tried)
+	if !ok {
+		return a.noneLeft(now, effects)
+	}
+	a.tried[c] = true
+	a.next++
+	a.open[a.next] = c
+	effects = append(effects, Offer{Attempt: a.next, Candidate: c, ResumeOffset: a.given})
+	return a.wake(now.Add(a.WidenAfter), effects)
+}
+
+func (a *Attempts) noneLeft(now time.Time, effects []Effect) []Effect {
+	if len(a.open) > 0 {
+		return a.wake(a.Request.Deadline, effects)
+	}
+	a.round++
+	if a.round >= a.rounds() || a.shed() {
+		return append(effects, a.refuse()...)
+	}
+	return a.wake(now.Add(a.RoundPause), effects)
+}
+
+func (a *Attempts) rounds() int {
+	switch a.last.Code {
+	case result.NotHome, result.WitnessUnreached, result.KeyClaimedElsewhere:
+		return max(a.Rounds, homeRounds)
+	default:
+		return a.Rounds
+	}
+}
+
+// shed says that every candidate refused for overload or for good: asking
+// again would only add to the load.
+func (a *Attempts) shed() bool {
+	switch a.last.Code {
+	case result.SidecarQueueFull, result.SidecarEvicted, result.Suspect,
+		result.KeyBodyDiffers, result.KeyOutcomeUnknown:
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *Attempts) granted(m Granted) []Effect {
+	if _, ok := a.open[m.Attempt]; !ok {
+		return nil
+	}
+	if a.phase != waiting {
+		return a.withdraw(m.Attempt)
+	}
+	a.phase = sent
+	a.current = m.Attempt
+	a.mayHaveRun = true
+	effects := []Effect{SendBody(m)}
+	return append(effects, a.withdrawOthers(m.Attempt)...)
+}
+
+func (a *Attempts) withdraw(n AttemptNumber) []Effect {
+	delete(a.open, n)
+	return []Effect{Withdraw{Attempt: n}}
+}
+
+func (a *Attempts) withdrawOthers(keep AttemptNumber) []Effect {
+	var effects []Effect
+	for _, n := range a.openNumbers() {
+		if n != keep {
+			effects = append(effects, a.withdraw(n)...)
+		}
+	}
+	return effects
+}
+
+func (a *Attempts) openNumbers() []AttemptNumber {
+	numbers := make([]AttemptNumber, 0, len(a.open))
+	for n := range a.open {
+		numbers = append(numbers, n)
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	return numbers
+}
+
+func (a *Attempts) evicted() []Effect {
+	if a.phase != waiting {
+		return nil
+	}
+	a.last = Refused{Code: result.Evicted, RetryAfter: time.Second}
+	return a.refuse()
+}
