List the top tier's flood as known red; let the demo's engines warm as the ramp asks

Ruled out: a shorter or smaller flood, which would hide the fault. Change: TestTopTierFlood with its entry in KNOWN-RED.txt; the demo's engines are warm after as many clean answers as they bear cold. Two methods of the dispatch core that nobody called are gone.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -274,7 +274,7 @@
 		FirstToken: 40 * time.Millisecond,
 		TokenGap:   8 * time.Millisecond,
 		ColdSlots:  row.ColdLimit,
-		WarmAfter:  2 * row.Limit,
+		WarmAfter:  row.ColdLimit,
 	}
 	d.Engines[row.Name] = e
 	return e
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -117,12 +117,6 @@
 // Done says that the request has ended.
 func (a *Attempts) Done() bool { return a.phase == done }
 
-// Waiting says that no body is under way.
-func (a *Attempts) Waiting() bool { return a.phase == waiting }
-
-// MayHaveRun says that a part of the system may have run the request.
-func (a *Attempts) MayHaveRun() bool { return a.mayHaveRun }
-
 func (a *Attempts) start(now time.Time) []Effect {
 	a.defaults()
 	a.open = make(map[AttemptNumber]Candidate)
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// The top tier reaches its target when it floods, for its own demand fits. It
+// is listed in KNOWN-RED.txt: docs/MEASUREMENTS.md says why.
+func TestTopTierFlood(t *testing.T) {
+	t.Parallel()
+	d, l := deployment(t, "ahmedabad"), load(t, "top-tier flood")
+	c := Cell{Deployment: d, Load: l, Policy: LateBinding, Scores: []*Score{short(d, l, 7).Score()}}
+	for _, m := range MissedTargets([]Cell{c}, LateBinding.Name) {
+		t.Errorf("%s: %s", m.Target, m.Seen)
+	}
+}
+
 // One seed gives one score.
 func TestSameSeedSameScore(t *testing.T) {
 	t.Parallel()
