Count refusals at the doors, and drop two codes that nobody answers

Cause: codes 2013 (admin token) and 6003 (fleet secret) were answered with their counters standing still, as was 6004 for a stream that begins without an offer; an answer over the gateway's own bound was counted as whole while its caller got 4014; the event keys_full was written nowhere. Ruled out: counting in internal/admin and internal/wire, which know no program and so no metrics. Change: the doors tell their program's counter; the gateway judges what it kept before it counts; the key task logs keys_full. 6006 (config_stale) and 6009 (frame_too_large) go: an old copy is passed over with the event stale_copy and never answered, and drpc closes a connection with too large a frame, which shows as a lost sidecar or a bad body. Nothing has been released with these numbers, and they are not used again.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -122,14 +122,21 @@
 	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
+// judge gives how a request ended with what was kept of its answer. Before it
+// is concluded, only keeping can have failed on an answer that is not streamed.
+func (a *answer) judge(f dispatch.Finish) dispatch.Finish {
+	if f.Code == result.OK && !a.streamed && a.failed {
+		return dispatch.Finish{Code: result.AnswerTooLarge}
+	}
+	return f
+}
+
 // conclude ends the answer. An answer that was begun and cannot be finished is
 // ended with an error that no client can take for an end.
 func (a *answer) conclude(f dispatch.Finish) {
 	// net/http writes the end of what was sent after the handler returns.
 	a.extend()
 	switch {
-	case f.Code == result.OK && !a.streamed && a.failed:
-		a.fail(dispatch.Finish{Code: result.AnswerTooLarge})
 	case f.Code == result.OK && !a.sent:
 		a.sendHead()
 		a.write(a.body.Bytes())
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -98,6 +98,7 @@
 	a.gaps = g.metrics.gap(c)
 	f, tokens := g.execute(r.Context(), c, a)
 	used = tokens
+	f = a.judge(f)
 	g.metrics.finished(c, a, f)
 	g.logFinish(c, a, f)
 	a.conclude(f)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -77,3 +77,6 @@
 
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
+
+// CountRefusal counts what was refused before it became a request.
+func (g *Gateway) CountRefusal(c result.Code) { g.metrics.refusal(c) }
--- a/internal/process/admin.go
+++ b/internal/process/admin.go
@@ -21,6 +21,8 @@
 	// Ready gives result.OK if the program takes work.
 	Ready() result.Code
 	WriteMetrics(w io.Writer)
+	// CountRefusal counts what was refused before it reached the program.
+	CountRefusal(code result.Code)
 }
 
 // adminHandler serves operators and the collector of metrics.
@@ -39,12 +41,12 @@
 		api.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	}).Methods(http.MethodGet)
-	return guard(token, r)
+	return guard(token, p.CountRefusal, r)
 }
 
 // guard lets in who presents the token; without one the listener is on
 // loopback only.
-func guard(token setting.Secret, next http.Handler) http.Handler {
+func guard(token setting.Secret, count func(result.Code), next http.Handler) http.Handler {
 	if token == "" {
 		return next
 	}
@@ -52,6 +54,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		values := r.Header.Values("Authorization")
 		if len(values) != 1 || !presents(values[0], want) {
+			count(result.BadAdminToken)
 			admin.Refuse(w, result.Errorf(result.BadAdminToken, "one header Authorization: Bearer is expected"))
 			return
 		}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -103,7 +103,7 @@
 	servePeers(lc, gr, l.peers, &wire.Server{
 		Secret: wire.Secret(p.Settings.FleetSecret),
 		Peer:   &peerServer{fleet: f},
-	}, p.Log)
+	}, g, p.Log)
 	lc.Append(fx.StartHook(func() {
 		gr.run(f.Run)
 		gr.run(q.Run)
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -110,7 +110,7 @@
 		Secret: wire.Secret(p.Settings.FleetSecret),
 		Work:   &sidecar.Work{Sidecar: s},
 		Peer:   &peerServer{fleet: f, keys: k},
-	}, p.Log)
+	}, s, p.Log)
 	lc.Append(fx.StartHook(func() {
 		gr.run(f.Run)
 		checkTable(gr, f, p.Log, p.Settings.ValidateAgainst)
--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -223,6 +223,9 @@
 	case booking.AnswerRecorded:
 		k.decide(e.Ref, keyVerdict{run: KeyRun{Ref: e.Ref, Answer: e.Answer}})
 	case booking.Refuse:
+		if e.Code == result.KeyTableFull {
+			k.Log.WriteThrottled(event.KeysFull, string(k.UpstreamName), "detail", e.Detail)
+		}
 		k.decide(e.Ref, keyVerdict{err: result.Errorf(e.Code, "%s", e.Detail)})
 	case booking.AskWitness:
 		go k.ask(ctx, e)
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -65,6 +65,7 @@
 	}
 	offer := first.GetOffer()
 	if offer == nil {
+		s.metrics.refusal(result.BadMessage)
 		return result.Errorf(result.BadMessage, "first message is not an offer")
 	}
 	a := &attempt{sidecar: s, stream: stream, offer: offer}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -91,10 +91,8 @@
 	BadSecret           Code = 6003
 	BadMessage          Code = 6004
 	ConfigUnreached     Code = 6005
-	ConfigStale         Code = 6006
 	CallBudget          Code = 6007
 	VMListUnreached     Code = 6008
-	FrameTooLarge       Code = 6009
 	Stopping            Code = 6010
 	Internal            Code = 6999
 )
--- a/pkg/result/info.go
+++ b/pkg/result/info.go
@@ -70,10 +70,8 @@
 	{BadSecret, "bad_secret", 401, true, false, "the peer does not hold the fleet's secret"},
 	{BadMessage, "bad_message", 400, true, false, "a message between processes is malformed"},
 	{ConfigUnreached, "config_unreached", 503, true, true, "the configuration service does not answer"},
-	{ConfigStale, "config_stale", 503, true, true, "the configuration service served an old copy"},
 	{CallBudget, "call_budget", 503, true, true, "the process's share of calls on the platform is used up"},
 	{VMListUnreached, "vm_list_unreached", 503, true, true, "the VM list does not answer"},
-	{FrameTooLarge, "frame_too_large", 413, true, false, "a message between processes is over the limit"},
 	{Stopping, "stopping", 503, true, true, "the process is stopping"},
 	{Internal, "internal", 500, false, false, "a fault of jasminewing"},
 }
