Show that each refusal, retry reason and event is reachable

Cause: counters and codes exist for each refusal, and nothing showed that a caller or a gateway can get each of them. Change: a test with seven small deployments, played side by side, provokes every code from 2001 on and every retry reason and waits for its counter: callers at a gateway, gateways' mistakes at a sidecar, dead homes, a frozen sidecar, a fleet without its platform. Six codes stand elsewhere, with the reason beside them: 6002 needs a stopped process, 6005, 6007 and 6008 are in log lines and never answered, 6010 is shown on the sidecar alone, 6999 is a fault. A new code without a step fails the test. Events are held by a search for the place that writes them; those of orders are left out until then. Ruled out: a scripted sidecar that answers any code, which would show the counters and not that the situation exists; it is used for the frozen one.

--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -45,3 +48,30 @@
 	l.WriteThrottled(UpstreamDown, "draft_a")
 	assert.Assert(t, strings.Contains(b.String(), "repeated=4"), b.String())
 }
+
+// Each event is written by some program. Those of orders are of
+// internal/order, which may not be there yet.
+func TestEachEventIsWritten(t *testing.T) {
+	declared, err := os.ReadFile("event.go")
+	assert.NilError(t, err)
+	names := regexp.MustCompile(`(?m)^\t(\w+) +Number = \d+$`).FindAllStringSubmatch(string(declared), -1)
+	assert.Equal(t, len(names), len(All()))
+	var written strings.Builder
+	for _, root := range []string{"..", "../../cmd"} {
+		assert.NilError(t, filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			written.Write(data)
+			return err
+		}))
+	}
+	for _, n := range names {
+		if n[1] == "OrderGiven" || n[1] == "OrderFailed" {
+			continue
+		}
+		use := regexp.MustCompile(`\bevent\.` + n[1] + `\b`)
+		assert.Assert(t, use.MatchString(written.String()), "%s is written nowhere", n[1])
+	}
+}
--- /dev/null
+++ b/internal/process/reach_world_test.go
@@ -0,0 +1,338 @@
+package process
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/setting"
+	"jasminewing.dev/jasminewing/internal/standin"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+// The table of a world. Upstream ghost_1 has no VM; draft_2 and draft_3 and
+// booking_2 only where a world lists one.
+const (
+	worldCentres = "name,region,state\nnorth,demo,in\n"
+	worldClasses = `name,tier,kind,service,idempotent,first_token,token_gap,deadline,max_wait,max_tokens
+question,1,engine,,yes,1s,29ms,10s,5s,8
+summary,3,engine,,yes,1s,100ms,10s,5s,8
+hurried,2,engine,,yes,100ms,100ms,300ms,300ms,8
+pitch,2,plain,booking,no,2s,,10s,2s,
+`
+	worldUpstreams = `name,data_centre,kind,serves,limit,cold_limit,state
+draft_1,north,engine,draft,1,1,in
+draft_2,north,engine,draft,1,1,in
+draft_3,north,engine,draft,1,1,in
+ghost_1,north,engine,ghost,1,1,in
+booking_1,north,plain,booking,8,8,in
+booking_2,north,plain,booking,8,8,in
+`
+	// deadAddress is one that nobody listens on: port 1 needs rights that the
+	// stand-ins lack.
+	deadAddress = "127.0.0.1:1"
+)
+
+var worldAccounts = "name,key_sha256,classes,requests_per_second,burst,tokens_per_minute,in_flight\n" +
+	account("free", "question summary hurried pitch", ",,,") +
+	account("one_class", "question", ",,,") +
+	account("rated", "question", "1,1,,") +
+	account("metered", "question", ",,1,") +
+	account("single", "question", ",,,1")
+
+func account(name, classes, limits string) string {
+	h := sha256.Sum256([]byte("key-" + name))
+	return fmt.Sprintf("%s,%s,%s,%s\n", name, hex.EncodeToString(h[:]), classes, limits)
+}
+
+// shape is how a world differs from the common one.
+type shape struct {
+	retryShare             float64
+	maxParked, maxWaiting  int64
+	maxKeys                int64
+	stopSettle             time.Duration
+	noGateway, noUpstreams bool
+	// dead are upstreams whose VM is listed and does not answer.
+	dead []table.UpstreamName
+	// sidecar is a sidecar of the test's own, before draft_1.
+	sidecar wire.DRPCWorkServer
+	// unready is a world without a platform.
+	unready bool
+}
+
+// world is a small deployment that a scenario is played in.
+type world struct {
+	*small
+	config  *standin.Config
+	vms     *standin.VMs
+	engine  *standin.Engine
+	booking *standin.Booking
+	// drafts and pitches stand before engine and booking.
+	drafts, pitches *script
+	dialer          *wire.Dialer
+	// draftAt and bookingAt are where the sidecars take work.
+	draftAt, bookingAt string
+	draftAdmin         string
+	bookingAdmin       string
+}
+
+// script is an upstream that also does what a request's text asks for.
+type script struct {
+	next http.Handler
+	// held is told of each request that is held, until its caller leaves or
+	// release is closed.
+	held, release chan struct{}
+}
+
+func newScript(next http.Handler) *script {
+	return &script{next, make(chan struct{}, 8), make(chan struct{})}
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		s.next.ServeHTTP(w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	switch text := string(body); {
+	case strings.Contains(text, "hold"):
+		s.held <- struct{}{}
+		select {
+		case <-r.Context().Done():
+		case <-s.release:
+		}
+		panic(http.ErrAbortHandler)
+	case strings.Contains(text, "fail"):
+		w.WriteHeader(http.StatusInternalServerError)
+	case strings.Contains(text, "plain text"):
+		_, _ = io.WriteString(w, "no event stream")
+	case strings.Contains(text, "huge"):
+		w.Header().Set("Content-Length", "9999999")
+		w.WriteHeader(http.StatusOK)
+	case strings.Contains(text, "cut") && r.Header.Get("Resume-Offset") == "":
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	default:
+		r.Body = io.NopCloser(strings.NewReader(text))
+		s.next.ServeHTTP(w, r)
+	}
+}
+
+func startWorld(t *testing.T, h shape) *world {
+	t.Helper()
+	w := &world{
+		small: &small{t: t}, config: &standin.Config{}, vms: &standin.VMs{},
+		engine: &standin.Engine{Name: "draft_1"}, booking: &standin.Booking{},
+		dialer: &wire.Dialer{Secret: testSecret},
+	}
+	w.drafts, w.pitches = newScript(w.engine), newScript(w.booking)
+	t.Cleanup(w.stopWorld)
+	for name, text := range map[string]string{
+		"data_centres": worldCentres, "classes": worldClasses, "upstreams": worldUpstreams, "accounts": worldAccounts,
+	} {
+		w.config.Set(name, []byte(text))
+	}
+	common := setting.Common{
+		DataCentre: "north", AdminToken: testToken, FleetSecret: testSecret,
+		ConfigAddress: deadAddress, VMListAddress: deadAddress,
+		LogFormat: setting.JSONLog, LogLevel: setting.InfoLevel,
+		MaxBody: setting.Bytes{N: 4 << 10}, MaxAnswer: setting.Bytes{N: 64 << 10},
+	}
+	if !h.unready {
+		common.ConfigAddress, common.VMListAddress = w.serve(w.config.Service()), w.serve(w.vms.Service())
+	}
+	if h.sidecar != nil {
+		w.list("draft_1", w.serveWork(h.sidecar))
+	} else if !h.noUpstreams {
+		w.draftAt, w.draftAdmin = w.addSidecar(common, h, "draft_1", w.drafts)
+		w.bookingAt, w.bookingAdmin = w.addSidecar(common, h, "booking_1", w.pitches)
+	}
+	for _, name := range h.dead {
+		w.list(name, deadAddress)
+	}
+	if !h.noGateway {
+		w.addGateway(common, h)
+	}
+	for _, a := range w.apps {
+		assert.NilError(t, a.Start(context.Background()))
+	}
+	if !h.unready {
+		w.awaitWork(h)
+	}
+	return w
+}
+
+func (w *world) awaitWork(h shape) {
+	w.t.Helper()
+	for _, admin := range []string{w.admin, w.draftAdmin, w.bookingAdmin} {
+		if admin != "" {
+			w.await("ready "+admin, func() bool { return w.get(admin, "/readyz") == "200 ok" })
+		}
+	}
+	if !h.noGateway {
+		want := 2
+		if h.sidecar != nil {
+			want = 1
+		}
+		w.await("work is offered", func() bool {
+			return strings.Count(w.get(w.admin, "/v1/upstreams"), `"offered_work": true`) == want
+		})
+	}
+}
+
+func (w *world) list(name table.UpstreamName, address string) {
+	w.vms.Set(fleet.VM{
+		Name: "vm_" + fleet.VMName(name), Role: fleet.Sidecar, DataCentre: "north", Upstream: name,
+		Address: fleet.Address(address), State: fleet.Live,
+	})
+}
+
+func (w *world) addSidecar(c setting.Common, h shape, name table.UpstreamName, upstream http.Handler) (at, adminAt string) {
+	c.Name = "vm_" + fleet.VMName(name)
+	l, admin := w.listen(), w.listen()
+	p := &Sidecar{Settings: &setting.Sidecar{
+		Common: c, UpstreamName: name, UpstreamAddress: w.serve(upstream),
+		MaxParked: setting.Count{N: int(max(h.maxParked, 1))}, MaxKeys: setting.Count{N: int(max(h.maxKeys, 4))},
+	}, Stderr: io.Discard, Peers: l, Admin: admin}
+	w.list(name, l.Addr().String())
+	w.apps = append(w.apps, p.App())
+	return l.Addr().String(), admin.Addr().String()
+}
+
+func (w *world) addGateway(c setting.Common, h shape) {
+	c.Name = "gw_1"
+	callers, peers, admin := w.listen(), w.listen(), w.listen()
+	w.callers, w.peers, w.admin = callers.Addr().String(), peers.Addr().String(), admin.Addr().String()
+	p := &Gateway{Settings: &setting.Gateway{
+		Common: c, MaxWaiting: setting.Count{N: int(max(h.maxWaiting, 1))}, RetryShare: setting.Share{Part: h.retryShare},
+		Subset: setting.Count{N: 8}, StopSettle: setting.Duration{Duration: h.stopSettle},
+	}, Stderr: io.Discard, Callers: callers, Peers: peers, Admin: admin}
+	w.vms.Set(fleet.VM{Name: "gw_1", Role: fleet.Gateway, DataCentre: "north", Address: fleet.Address(w.peers), State: fleet.Live})
+	w.apps = append(w.apps, p.App())
+}
+
+// serveWork serves a sidecar of the test's own.
+func (w *world) serveWork(work wire.DRPCWorkServer) string {
+	l := w.listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = (&wire.Server{Secret: testSecret, Work: work}).Serve(ctx, l)
+	}()
+	w.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return l.Addr().String()
+}
+
+func (w *world) stopWorld() {
+	_ = w.dialer.Close()
+	w.stop()
+}
+
+func (w *world) get(address, path string) string {
+	return w.raw(address, "GET "+path+" HTTP/1.0\r\nAuthorization: Bearer "+testToken+"\r\n\r\n")
+}
+
+var counter = regexp.MustCompile(`(?m)^(jasminewing_(?:results|sidecar_refusals|sidecar_ends|retries)_total\{[^}]*\}) ([0-9]+)$`)
+
+// counts gives the counters of refusals, ends and retries of all programs.
+func (w *world) counts() map[string]int {
+	all := make(map[string]int)
+	for _, admin := range []string{w.admin, w.draftAdmin, w.bookingAdmin} {
+		if admin == "" {
+			continue
+		}
+		for _, m := range counter.FindAllStringSubmatch(w.get(admin, "/metrics"), -1) {
+			n, err := strconv.Atoi(m[2])
+			assert.NilError(w.t, err)
+			all[m[1]] += n
+		}
+	}
+	return all
+}
+
+// callerRequest is a request of the account free, unless another is named.
+type callerRequest struct {
+	account, path, headers, body string
+}
+
+func chat(text string) callerRequest {
+	return callerRequest{path: "/v1/chat/completions", body: fmt.Sprintf(`{"model":"draft","stream":true,"max_tokens":4,"prompt":%q}`, text)}
+}
+
+func (c callerRequest) of(account string) callerRequest { c.account = account; return c }
+
+func (c callerRequest) with(headers string) callerRequest { c.headers += headers + "\r\n"; return c }
+
+func (c callerRequest) class(name string) callerRequest { return c.with("Jasminewing-Class: " + name) }
+
+func pitch(key, name string) callerRequest {
+	return pitchWithoutKey(name).with("Idempotency-Key: " + key)
+}
+
+func pitchWithoutKey(name string) callerRequest {
+	return callerRequest{path: "/services/pitch/bookings", body: fmt.Sprintf(`{"booking":%q}`, name)}
+}
+
+func (c callerRequest) String() string {
+	if c.account == "" {
+		c.account = "free"
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		c.path, c.account, c.headers, len(c.body), c.body)
+}
+
+// ask sends a request and waits for its end; a test that fails shows the answer.
+func (w *world) ask(c callerRequest) { w.t.Logf("%s", w.raw(w.callers, c.String())) }
+
+// begin sends a request whose caller waits until leave is called.
+func (w *world) begin(c callerRequest) (leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.callers+c.path, strings.NewReader(c.body))
+		if err != nil {
+			return
+		}
+		name := c.account
+		if name == "" {
+			name = "free"
+		}
+		r.Header.Set("Authorization", "Bearer key-"+name)
+		for line := range strings.SplitSeq(strings.TrimSpace(c.headers), "\r\n") {
+			if k, v, ok := strings.Cut(line, ": "); ok {
+				r.Header.Set(k, v)
+			}
+		}
+		if resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	}()
+	return func() { cancel(); <-ended }
+}
+
+// hold sends a request that the engine holds until its caller leaves.
+func (w *world) hold(c callerRequest) (leave func()) {
+	leave = w.begin(c)
+	<-w.drafts.held
+	return leave
+}
