Tell peers of a death at once, and let nobody outrun the news

Cause: suspect.Book.Spread was nil, so that a suspicion travelled with the next exchange, up to a second later, while its caller may repeat the request at once through another gateway. And a gateway did not look at its own marks before its own retries, so one request could end a third engine. HandleSync takes suspicions in before it answers, so that an answer means heard.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -87,6 +87,10 @@
 		c.answered(m)
 	case BehindHeard:
 		c.behind(m)
+	case SpreadAsked:
+		for _, a := range c.choose(neighbourCount) {
+			c.probe(a, nil)
+		}
 	case RenewAsked:
 		if !c.paused {
 			c.pause()
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -72,6 +72,10 @@
 // RenewAsked asks to hear from somebody before work goes on.
 type RenewAsked struct{}
 
+// SpreadAsked asks to tell all neighbours at once what is shared with them.
+type SpreadAsked struct{}
+
+func (SpreadAsked) message()  {}
 func (Ticked) message()       {}
 func (Watched) message()      {}
 func (Got) message()          {}
--- /dev/null
+++ b/internal/fleet/suspicion_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// fakeBook holds fingerprints and spreads those that are new to it.
+type fakeBook struct {
+	spread func() <-chan struct{}
+
+	mu     sync.Mutex
+	held   []*wire.Suspicion
+	shares int
+}
+
+func (b *fakeBook) Share(time.Time) []*wire.Suspicion {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shares++
+	return append([]*wire.Suspicion(nil), b.held...)
+}
+
+func (b *fakeBook) Heard(_ time.Time, ss []*wire.Suspicion) {
+	b.mu.Lock()
+	fresh := len(ss) > len(b.held)
+	if fresh {
+		b.held = append([]*wire.Suspicion(nil), ss...)
+	}
+	b.mu.Unlock()
+	if fresh {
+		b.spread()
+	}
+}
+
+func (b *fakeBook) count() (held, shares int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.held), b.shares
+}
+
+// A suspicion reaches every process well before the next round, and many at
+// once are few exchanges.
+func TestSuspicionsSpreadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakePlatform{
+			list: testList(1, 6), values: make(map[string]Value),
+			edited: make(chan struct{}), tasks: make(map[Address]*Task),
+		}
+		f.set("classes", "fine")
+		f.set("data_centres", "vatva in")
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		var books []*fakeBook
+		for _, v := range f.list.VMs {
+			task := f.task(v, time.Now)
+			b := &fakeBook{spread: task.Spread}
+			task.Suspicions = b
+			books = append(books, b)
+			group.Go(func() { assert.Check(t, task.Run(ctx)) })
+		}
+		until(t, "ready", 5*time.Second, func() bool { return f.tasks[f.list.VMs[5].Address].View().Ready })
+
+		begin := time.Now()
+		books[0].Heard(begin, []*wire.Suspicion{{Fingerprint: []byte("a")}})
+		select {
+		case <-f.tasks[f.list.VMs[0].Address].Spread():
+		case <-time.After(10 * spreadGap):
+			t.Fatal("the spread did not end")
+		}
+		for i, b := range books {
+			held, _ := b.count()
+			assert.Equal(t, held, 1, "process %d has not heard", i)
+		}
+
+		_, before := books[0].count()
+		const many = 1000
+		var all []*wire.Suspicion
+		for range many {
+			all = append(all, &wire.Suspicion{})
+			books[0].Heard(time.Now(), all)
+		}
+		<-time.After(2 * spreadGap)
+		_, after := books[0].count()
+		// Its own exchanges now and a gap later, and answers to five others.
+		assert.Assert(t, after-before > 0 && after-before <= 3*neighbourCount+10, "%d shares for %d suspicions", after-before, many)
+		cancel()
+		group.Wait()
+	})
+}
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -79,6 +79,7 @@
 	core    *Core
 	inbox   chan envelope
 	syncs   chan struct{}
+	spreads chan struct{}
 	group   *errgroup.Group
 	view    atomic.Pointer[View]
 	refused atomic.Pointer[[]Refusal]
@@ -88,8 +89,13 @@
 	digest   atomic.Uint64
 	start    time.Time
 
+	// telling is the spread whose calls the loop is making.
+	telling *spreadRound
+
 	mu          sync.Mutex
 	subscribers []chan struct{}
+	// coming is the spread that was asked for and not begun.
+	coming *spreadRound
 }
 
 // envelope carries a message to the core, and the answer back.
@@ -105,6 +111,7 @@
 		}
 		t.inbox = make(chan envelope, inboxSize)
 		t.syncs = make(chan struct{}, maxSyncs)
+		t.spreads = make(chan struct{}, 1)
 		t.start = t.Now()
 		t.view.Store(&View{})
 		t.refused.Store(&[]Refusal{})
@@ -130,11 +137,20 @@
 func (t *Task) loop(ctx context.Context) error {
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
+	gap := time.NewTimer(0)
+	defer gap.Stop()
+	var spreads <-chan struct{}
 	t.handle(ctx, envelope{message: Ticked{}})
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-gap.C:
+			spreads = t.spreads
+		case <-spreads:
+			spreads = nil
+			gap.Reset(spreadGap)
+			t.spread(ctx)
 		case <-ticker.C:
 			t.handle(ctx, envelope{message: Ticked{}})
 		case e := <-t.inbox:
@@ -224,6 +240,10 @@
 // HandleSync answers a peer.
 func (t *Task) HandleSync(ctx context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
 	t.init()
+	if t.Suspicions != nil {
+		// First, so that whoever waits for the answer knows that it was heard.
+		t.Suspicions.Heard(t.Now(), r.Suspicions)
+	}
 	answer := make(chan *wire.SyncReply, 1)
 	t.post(ctx, envelope{SyncAsked{r}, answer})
 	var reply *wire.SyncReply
@@ -233,7 +253,6 @@
 	case reply = <-answer:
 	}
 	if t.Suspicions != nil {
-		t.Suspicions.Heard(t.Now(), r.Suspicions)
 		reply.Suspicions = t.Suspicions.Share(t.Now())
 	}
 	if t.Gateways != nil && len(r.Gateways) > 0 {
--- a/internal/fleet/task_calls.go
+++ b/internal/fleet/task_calls.go
@@ -62,7 +62,9 @@
 	if t.Suspicions != nil {
 		f.Request.Suspicions = t.Suspicions.Share(t.Now())
 	}
+	told := t.told()
 	t.call(ctx, 0, func(ctx context.Context) Message {
+		defer told()
 		defer func() { <-t.syncs }()
 		reply, err := t.Peers.Sync(ctx, f.To, f.Request)
 		if err == nil && t.Suspicions != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,14 @@
 	return dispatch.Finish{}, false
 }
 
+// judgeAgain is asked before each offer: earlier attempts of this request, or
+// of the same one at another gateway, may have ended upstreams meanwhile.
+func (r *run) judgeAgain() error {
+	suspected, err := r.gateway.Suspects.Judge(time.Now(), r.offer)
+	r.suspected = r.suspected || suspected
+	return err
+}
+
 func (r *run) refuse(code result.Code, detail string, after time.Duration) dispatch.Finish {
 	r.answer.detail = detail
 	r.trace.step("refused", "", code)
@@ -227,6 +235,10 @@
 // open offers to a sidecar. A gateway that was paused first hears what is new:
 // what it knows may name a data centre that has been taken out.
 func (r *run) open(ctx context.Context, e dispatch.Offer) {
+	if err := r.judgeAgain(); err != nil {
+		go r.refuseOffer(ctx, e.Attempt, err)
+		return
+	}
 	if err := r.gateway.Fleet.Renew(ctx); err != nil {
 		go r.refuseOffer(ctx, e.Attempt, err)
 		return
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -151,7 +151,7 @@
 func newSuspects(l *event.Log) *suspect.Book { return &suspect.Book{Log: l} }
 
 func newFleet(c *setting.Common, self fleet.VM, inc fleet.Incarnation, d *wire.Dialer, b *suspect.Book, l *event.Log) *fleet.Task {
-	return &fleet.Task{
+	f := &fleet.Task{
 		Self:        self,
 		Incarnation: inc,
 		Config:      &platform.Config{Client: platform.Client{Base: "http://" + string(c.ConfigAddress)}},
@@ -162,6 +162,8 @@
 		Parse:       parse,
 		Suspicions:  b,
 	}
+	b.Spread = f.Spread
+	return f
 }
 
 // parse makes a table of values; the error names the first faults.
--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -11,14 +11,17 @@
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
+// spreadWait bounds how long the news of a death is waited for.
+const spreadWait = 200 * time.Millisecond
+
 // Book is a Core that many tasks may ask at once. Its exported fields are set
 // before use.
 type Book struct {
 	Core Core
 	Log  *event.Log
-	// Spread makes peers hear new suspicions at once; nil to let them hear with
-	// the next exchange.
-	Spread func()
+	// Spread makes peers hear new suspicions at once, and closes the channel
+	// when they have; nil to let them hear with the next exchange.
+	Spread func() <-chan struct{}
 
 	mu sync.Mutex
 }
@@ -39,12 +42,23 @@
 }
 
 // Died tells of the requests in flight when an instance of an upstream ended.
+// It waits, within bounds, until peers have heard of it: nobody shall try such
+// a request again where it is not known yet.
 func (b *Book) Died(now time.Time, instance fleet.Incarnation, inFlight []*wire.Offer) {
 	m := Died{Incarnation: instance}
 	for _, o := range inFlight {
 		m.Fingerprints = append(m.Fingerprints, Fingerprint(o.Fingerprint))
 	}
-	b.handle(now, m)
+	told := b.handle(now, m)
+	if told == nil {
+		return
+	}
+	bound := time.NewTimer(spreadWait)
+	defer bound.Stop()
+	select {
+	case <-told:
+	case <-bound.C:
+	}
 }
 
 // Clean tells of a suspect that ran to its whole answer.
@@ -72,7 +86,9 @@
 	}
 }
 
-func (b *Book) handle(now time.Time, m Message) {
+// handle gives a channel that is closed when peers have heard what is new; nil
+// if nothing is.
+func (b *Book) handle(now time.Time, m Message) (told <-chan struct{}) {
 	b.mu.Lock()
 	effects := b.Core.Handle(now, m)
 	b.mu.Unlock()
@@ -80,12 +96,13 @@
 		switch e := e.(type) {
 		case ShareNow:
 			if b.Spread != nil {
-				b.Spread()
+				told = b.Spread()
 			}
 		case Quarantined:
 			b.Log.WriteThrottled(event.RequestSuspect, FingerprintText(e.Fingerprint), "deaths", e.Deaths)
 		}
 	}
+	return told
 }
 
 // FingerprintText gives a fingerprint as logs show it.
