Test the sidecar's keys task and what it does with bad messages

Cause: internal/sidecar had two tests of its own. Change: the keys task with fake witnesses in fake time: a key runs once and its answer is given again, what was not run frees it, a cut keeps it as unknown, a witness that is dead or silent refuses it and leaves no claim, a withdrawal frees it, a stopped task lets nothing run. Bodies longer, shorter, without an end or not of their hash, a second offer, no offer: refused, not run, slot free. Passing an incomplete answer on as one changes nothing but a log line, for the core settles both as unknown. Ruled out: sockets; a fake stream says what is sent in which order. Conclusion: no fault was found.

--- /dev/null
+++ b/internal/sidecar/keys_test.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/booking"
+	"jasminewing.dev/jasminewing/internal/engine"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+var errDead = errors.New("no such process")
+
+// fakeWitnesses answer for all other sidecars.
+type fakeWitnesses struct {
+	// dead ones fail, silent ones answer nothing in time.
+	dead, silent fleet.Address
+
+	mu                         sync.Mutex
+	claims, releases, outcomes int
+}
+
+func (f *fakeWitnesses) Claim(ctx context.Context, to fleet.Address, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	switch to {
+	case f.dead:
+		return nil, errDead
+	case f.silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case r.Release:
+		f.releases++
+	case r.Answer != nil:
+		f.outcomes++
+	default:
+		f.claims++
+	}
+	return &wire.ClaimReply{UpMs: uint64((2 * time.Hour).Milliseconds())}, nil
+}
+
+func (f *fakeWitnesses) told() [3]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return [3]int{f.claims, f.releases, f.outcomes}
+}
+
+// withKeys plays with the keys of booking_1, home of the offer's key, which has
+// two witnesses.
+func withKeys(t *testing.T, f *fakeWitnesses, play func(t *testing.T, k *Keys, o *wire.Offer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		view := fleet.View{Ready: true, Table: &table.Table{
+			Classes:   map[table.ClassName]table.Class{"pitch": {Name: "pitch", Kind: table.Plain, Service: "booking", KeyWindow: time.Hour}},
+			Upstreams: make(map[table.UpstreamName]table.Upstream),
+		}}
+		for _, n := range []string{"booking_1", "booking_2", "booking_3"} {
+			view.Table.Upstreams[table.UpstreamName(n)] = table.Upstream{
+				Name: table.UpstreamName(n), Kind: table.Plain, Serves: []table.ServiceName{"booking"},
+			}
+			view.VMs.VMs = append(view.VMs.VMs, fleet.VM{
+				Name: fleet.VMName(n), Role: fleet.Sidecar, Upstream: table.UpstreamName(n), Address: fleet.Address(n), State: fleet.Live,
+			})
+		}
+		k := &Keys{
+			Core:  booking.Core{Self: view.VMs.VMs[0], Incarnation: "i", MaxRecords: 10},
+			Fleet: &stillFleet{view}, Peers: f, UpstreamName: "booking_1",
+		}
+		k.Init()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		o := &wire.Offer{Account: "market", BodyHash: []byte("hash")}
+		for _, text := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			if o.Key = text; k.Check(o) == nil {
+				break
+			}
+		}
+		assert.NilError(t, k.Check(o))
+		play(t, k, o)
+		cancel()
+		assert.NilError(t, <-ended)
+		_, err := k.Begin(t.Context(), o)
+		assert.Equal(t, result.CodeOf(err), result.KeyOutcomeUnknown, "a stopped task may not let a key run")
+	})
+}
+
+func TestKeyRunsOnce(t *testing.T) {
+	f := &fakeWitnesses{}
+	withKeys(t, f, func(t *testing.T, k *Keys, o *wire.Offer) {
+		run, err := k.Begin(t.Context(), o)
+		assert.NilError(t, err)
+		assert.Assert(t, run.Answer == nil)
+		assert.Equal(t, f.told(), [3]int{2, 0, 0})
+		_, err = k.Begin(t.Context(), o)
+		assert.Equal(t, result.CodeOf(err), result.KeyInProgress)
+
+		k.Finish(run.Ref, engine.Outcome{Complete: true}, &wire.StoredAnswer{Complete: true, Body: []byte("booked")})
+		again, err := k.Begin(t.Context(), o)
+		assert.NilError(t, err)
+		assert.Equal(t, string(again.Answer.GetBody()), "booked")
+		synctest.Wait()
+		assert.Equal(t, f.told(), [3]int{2, 0, 2})
+	})
+}
+
+// What the upstream did not run frees the key; any other end keeps it.
+func TestKeyAfterItsEnd(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome engine.Outcome
+		want    result.Code
+		told    [3]int
+	}{
+		{"not run", engine.Outcome{NotRun: true}, result.OK, [3]int{4, 2, 0}},
+		{"cut", engine.Outcome{Code: result.UpstreamCutOff}, result.KeyOutcomeUnknown, [3]int{2, 0, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeWitnesses{}
+			withKeys(t, f, func(t *testing.T, k *Keys, o *wire.Offer) {
+				run, err := k.Begin(t.Context(), o)
+				assert.NilError(t, err)
+				k.Finish(run.Ref, tt.outcome, &wire.StoredAnswer{})
+				_, err = k.Begin(t.Context(), o)
+				assert.Equal(t, result.CodeOf(err), tt.want)
+				synctest.Wait()
+				assert.Equal(t, f.told(), tt.told)
+			})
+		})
+	}
+}
+
+// A key that a witness cannot record does not run, and is claimed nowhere after.
+func TestKeyWithoutWitness(t *testing.T) {
+	for _, f := range []*fakeWitnesses{{dead: "booking_2"}, {silent: "booking_3"}} {
+		withKeys(t, f, func(t *testing.T, k *Keys, o *wire.Offer) {
+			begin := time.Now()
+			_, err := k.Begin(t.Context(), o)
+			assert.Equal(t, result.CodeOf(err), result.WitnessUnreached)
+			assert.Assert(t, time.Since(begin) <= claimTimeout)
+			synctest.Wait()
+			told := f.told()
+			assert.Equal(t, told[0], told[1], "claims and releases")
+		})
+	}
+}
+
+// A gateway that withdraws while the witnesses are asked frees the key: the
+// next one gets its turn as if nothing had been.
+func TestKeyWithdrawn(t *testing.T) {
+	f := &fakeWitnesses{silent: "booking_3"}
+	withKeys(t, f, func(t *testing.T, k *Keys, o *wire.Offer) {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(claimTimeout/2, cancel)
+		_, err := k.Begin(ctx, o)
+		assert.Equal(t, result.CodeOf(err), result.CallerGone)
+		_, err = k.Begin(t.Context(), o)
+		assert.Equal(t, result.CodeOf(err), result.WitnessUnreached, "asked anew, and not in progress")
+	})
+}
--- /dev/null
+++ b/internal/sidecar/message_test.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/admission"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+	"jasminewing.dev/jasminewing/pkg/table"
+)
+
+func bodyPart(text string, last bool) *wire.GatewayMessage {
+	return &wire.GatewayMessage{Kind: &wire.GatewayMessage_Body{Body: &wire.Body{Data: []byte(text), Last: last}}}
+}
+
+func offerMessage(o *wire.Offer) *wire.GatewayMessage {
+	return &wire.GatewayMessage{Kind: &wire.GatewayMessage_Offer{Offer: o}}
+}
+
+// What does not keep to the protocol is refused as not run, and its slot is
+// free again. The upstream of this sidecar is nil: a call on it would panic.
+func TestBadMessages(t *testing.T) {
+	offer := func(bytes uint64) *wire.Offer {
+		return &wire.Offer{RequestId: "r", Class: "draft", Model: "draft", TimeLeftUs: 1e6, BodyBytes: bytes}
+	}
+	tests := []struct {
+		name string
+		sent []*wire.GatewayMessage
+		want result.Code
+	}{
+		{"body longer than offered", []*wire.GatewayMessage{offerMessage(offer(3)), bodyPart("abcd", true)}, result.BadMessage},
+		{"body longer in parts", []*wire.GatewayMessage{offerMessage(offer(3)), bodyPart("ab", false), bodyPart("cd", true)}, result.BadMessage},
+		{"body longer, and no end in sight", []*wire.GatewayMessage{offerMessage(offer(3)), bodyPart("abcd", false)}, result.BadMessage},
+		{"body shorter than offered", []*wire.GatewayMessage{offerMessage(offer(3)), bodyPart("ab", true)}, result.BadMessage},
+		{"body without its end", []*wire.GatewayMessage{offerMessage(offer(3)), bodyPart("abc", false)}, result.BadBody},
+		{"a second offer", []*wire.GatewayMessage{offerMessage(offer(3)), offerMessage(offer(3))}, result.BadMessage},
+		{"more than the sidecar takes", []*wire.GatewayMessage{offerMessage(offer(101))}, result.BodyTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStill()
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = s.admitter.Run(ctx) }()
+				s.admitter.tellCore(admission.Configured{Upstream: table.Upstream{Name: "draft_1", Limit: 1, ColdLimit: 1}})
+				g := &gatewaySide{ctx: ctx, sent: tt.sent}
+				assert.NilError(t, (&Work{s}).Run(g))
+				last := g.got[len(g.got)-1].GetRefused()
+				assert.Equal(t, result.Code(last.GetCode()), tt.want, "%s", last.GetDetail())
+				assert.Assert(t, last.GetNotRun())
+				synctest.Wait()
+				assert.Equal(t, s.State().InFlight, 0)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A stream that does not begin with an offer ends with an error and is counted.
+func TestNoOfferFirst(t *testing.T) {
+	s := newStill()
+	g := &gatewaySide{ctx: t.Context(), sent: []*wire.GatewayMessage{bodyPart("abc", true)}}
+	err := (&Work{s}).Run(g)
+	assert.Equal(t, result.CodeOf(err), result.BadMessage)
+	assert.Equal(t, len(g.got), 0)
+	var b bytes.Buffer
+	s.WriteMetrics(&b)
+	assert.Assert(t, strings.Contains(b.String(), refusalName(result.BadMessage)+" 1\n"))
+}
+
+// The body of a request with a key must be the one that its key is claimed for.
+func TestBodyMatchesItsHash(t *testing.T) {
+	h := sha256.Sum256([]byte("abc"))
+	tests := []struct {
+		name, key, body string
+		want            result.Code
+	}{
+		{"same body", "k", "abc", result.OK},
+		{"another body", "k", "abd", result.BadMessage},
+		{"another body without a key", "", "abd", result.OK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := &attempt{
+				stream: &gatewaySide{sent: []*wire.GatewayMessage{bodyPart(tt.body, true)}},
+				offer:  &wire.Offer{Key: tt.key, BodyHash: h[:], BodyBytes: 3},
+				class:  table.Class{Kind: table.Plain},
+			}
+			assert.Equal(t, result.CodeOf(a.receiveBody()), tt.want)
+		})
+	}
+}
