--- a/internal/sidecar/stopping_test.go
+++ b/internal/sidecar/stopping_test.go
@@ -51,6 +51,7 @@
 	return nil
 }
 
+// newStill gives a sidecar whose tasks do not run.
 func newStill() *Sidecar {
 	t := &table.Table{
 		Classes:   map[table.ClassName]table.Class{"draft": {Name: "draft", Kind: table.Engine, Idempotent: true}},
@@ -60,7 +61,10 @@
 		UpstreamName: "draft_1", Fleet: &stillFleet{fleet.View{Ready: true, Table: t}},
 		Keys: &Keys{}, Suspects: &suspect.Book{}, MaxBody: 100,
 	}
-	s.Init()
+	s.admitter.Report, s.admitter.Count = s.noteState, s.reports.count
+	s.admitter.init()
+	s.metrics.init(s)
+	s.Keys.Init()
 	return s
 }
 
