Let a newcomer crash an engine in the demo and see why

Cause: in a new user's walk nothing said how to kill an upstream, and a crashed engine was back before one could look. Change: the demo prints the stand-ins' addresses, a status and a crash command; its engines stay down for five seconds.

--- a/cmd/jasminewing/demo.go
+++ b/cmd/jasminewing/demo.go
@@ -96,12 +96,19 @@
 	for _, a := range d.Admins() {
 		fmt.Fprintf(c.stdout, "admin:    %s\n", a)
 	}
+	for _, u := range d.Upstreams() {
+		fmt.Fprintf(c.stdout, "upstream: %s\n", u)
+	}
 	if c.Table != "" {
 		return
 	}
 	for _, t := range trials {
 		fmt.Fprintf(c.stdout, "\n# %s\n%s\n", t.what, t.curl(gateway))
 	}
+	_, admin, _ := strings.Cut(d.Admins()[len(d.Admins())-1], " ")
+	_, engine, _ := strings.Cut(d.Upstreams()[len(d.Upstreams())-1], " ")
+	fmt.Fprintf(c.stdout, "\n# what the fleet does, and why\njasminewing status --admin %s\n", admin)
+	fmt.Fprintf(c.stdout, "\n# crash an engine, and look again\ncurl http://%s/control -d '{\"action\":\"crash\"}'\n", engine)
 	fmt.Fprintf(c.stdout, "\nstop with ctrl-c\n")
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -123,6 +123,16 @@
 	return all
 }
 
+// Upstreams gives the addresses of the stand-ins, by name of upstream.
+func (d *Deployment) Upstreams() []string {
+	var all []string
+	for name, address := range d.upstreamAddresses {
+		all = append(all, fmt.Sprintf("%s %s", name, address))
+	}
+	slices.Sort(all)
+	return all
+}
+
 // Start starts everything and returns when all gateways are ready.
 func (d *Deployment) Start(ctx context.Context) error {
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -275,6 +285,8 @@
 		TokenGap:   8 * time.Millisecond,
 		ColdSlots:  row.ColdLimit,
 		WarmAfter:  row.ColdLimit,
+		// Long enough to see in the status what the fleet does about it.
+		RestartAfter: 5 * time.Second,
 	}
 	d.Engines[row.Name] = e
 	return e
