Never say not_run of a request that came with a key; bound a test's wait

Cause: a refusal before anything ran (over the account's rate, no table yet) said not_run to a caller who repeats a booking's key, though the first request may have run: read that way, a ward books elsewhere and pays twice. Found while reading the handler. Ruled out: the dispatch core, which knows keys. Change: with an Idempotency-Key no refusal says not_run. While testing this, TestEveryRefusalIsReachable waited ten minutes for a request that its gateway had refused on the busy machine: the wait is bounded now and sends it again.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,9 +26,12 @@
 	w        http.ResponseWriter
 	id       dispatch.RequestID
 	streamed bool
-	limit    int64
-	arrived  time.Time
-	detail   string
+	// keyed says that the caller gave an idempotency key: an earlier request
+	// with it may have run, so no refusal says that it was not run.
+	keyed   bool
+	limit   int64
+	arrived time.Time
+	detail  string
 
 	status    int
 	headers   []*wire.Header
@@ -150,7 +153,7 @@
 }
 
 func (a *answer) errorJSON(f dispatch.Finish) []byte {
-	b, err := json.Marshal(f.Code.Answer(a.detail, f.NotRun, string(a.id)))
+	b, err := json.Marshal(f.Code.Answer(a.detail, f.NotRun && !a.keyed, string(a.id)))
 	if err != nil {
 		return []byte(`{"error":{"type":"internal","code":6999}}`)
 	}
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,3 +25,27 @@
 	a.takeData([]byte("abc"))
 	assert.Equal(t, a.judge(dispatch.Finish{}).Code, result.OK)
 }
+
+// A refusal before anything ran is no word on an earlier request with the same
+// key, which may have run: it must not read as "your booking was not made".
+func TestRefusalOfAKeyClaimsNothing(t *testing.T) {
+	tests := []struct {
+		keyed bool
+		want  string
+	}{
+		{false, `"not_run":true`},
+		{true, `"not_run":false`},
+	}
+	for _, tt := range tests {
+		g := &Gateway{Fleet: &stillFleet{}}
+		g.Init()
+		r := httptest.NewRequest(http.MethodPost, "/services/pitch_booking/bookings", strings.NewReader(`{}`))
+		if tt.keyed {
+			r.Header.Set("Idempotency-Key", "pitch-12")
+		}
+		w := httptest.NewRecorder()
+		g.serveCall(w, r)
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(w.Body.String(), tt.want), w.Body.String())
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -75,6 +75,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	a := &answer{w: w, id: g.ids.next(), limit: g.MaxAnswer, arrived: time.Now()}
+	a.keyed = len(r.Header.Values(keyHeader)) > 0
 	c, err := g.understand(w, r, a.id)
 	if err != nil {
 		g.refuseCall(a, err)
--- a/internal/process/reach_world_test.go
+++ b/internal/process/reach_world_test.go
@@ -304,8 +304,14 @@
 
 // begin sends a request whose caller waits until leave is called.
 func (w *world) begin(c callerRequest) (leave func()) {
+	leave, _ = w.beginWatched(c)
+	return leave
+}
+
+// beginWatched also gives what is closed when the caller has its answer.
+func (w *world) beginWatched(c callerRequest) (leave func(), ended chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
+	ended = make(chan struct{})
 	go func() {
 		defer close(ended)
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.callers+c.path, strings.NewReader(c.body))
@@ -323,16 +329,28 @@
 			}
 		}
 		if resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
+			answer, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
+			w.t.Logf("%d %s", resp.StatusCode, answer)
 		}
 	}()
-	return func() { cancel(); <-ended }
+	return func() { cancel(); <-ended }, ended
 }
 
-// hold sends a request that the engine holds until its caller leaves.
+// hold sends a request that the engine holds until its caller leaves. One that
+// is refused on its way, as on a busy machine, is sent again.
 func (w *world) hold(c callerRequest) (leave func()) {
-	leave = w.begin(c)
-	<-w.drafts.held
-	return leave
+	w.t.Helper()
+	late := time.After(patience)
+	for {
+		leave, ended := w.beginWatched(c)
+		select {
+		case <-w.drafts.held:
+			return leave
+		case <-ended:
+		case <-late:
+			leave()
+			w.t.Fatalf("the engine holds nothing after %s", patience)
+		}
+	}
 }
