Bound the memory that recorded answers take, all together

Cause: 100,000 records with answers of up to 4 KB each would be some 430 MB, while a node has 64 MB for control. Found while writing docs/CAPACITY.md. Ruled out: smaller answers alone, which would still be 35 MB of bare records. Change: recorded answers share a bound of 8 MiB; one that does not fit is kept as run, without its body, and its repeat gets outcome unknown. With all keys a sidecar is worked out at 62 MB.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -43,6 +43,7 @@
 	DefaultWitnesses      = 2
 	DefaultMaxRecords     = 8192
 	DefaultMaxAnswerBytes = 4096
+	DefaultMaxKeptBytes   = 8 << 20
 	DefaultClaimTimeout   = 2 * time.Second
 )
 
@@ -65,6 +66,9 @@
 	// MaxAnswerBytes bounds a recorded answer, headers included; of a larger one
 	// only the fact that it ran is kept.
 	MaxAnswerBytes int
+	// MaxKeptBytes bounds all recorded answers together; beyond it only the fact
+	// that a key ran is kept.
+	MaxKeptBytes int
 	// ClaimTimeout ends a round that the sidecar did not end.
 	ClaimTimeout time.Duration
 
@@ -78,6 +82,8 @@
 	runs     map[Ref]*record
 	claims   ClaimID
 	swept    time.Time
+	// kept is the size of all recorded answers, in bytes.
+	kept int
 }
 
 func (c *Core) setDefaults() {
@@ -102,6 +108,9 @@
 	if c.MaxAnswerBytes <= 0 {
 		c.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
+	if c.MaxKeptBytes <= 0 {
+		c.MaxKeptBytes = DefaultMaxKeptBytes
+	}
 	if c.ClaimTimeout <= 0 {
 		c.ClaimTimeout = DefaultClaimTimeout
 	}
@@ -180,6 +189,7 @@
 
 func (c *Core) forget(r *record) {
 	if c.records[r.key] == r {
+		c.kept -= sizeOf(r.answer)
 		delete(c.records, r.key)
 	}
 	if c.runs[r.ref] == r {
@@ -244,17 +254,32 @@
 	return out
 }
 
+// settle records an outcome, with its answer if there is room for it.
+func (c *Core) settle(now time.Time, r *record, a *wire.StoredAnswer) {
+	before := sizeOf(r.answer)
+	r.settle(now, c.bounded(a))
+	c.kept += sizeOf(r.answer) - before
+}
+
 // bounded drops an answer that is too large to keep.
 func (c *Core) bounded(a *wire.StoredAnswer) *wire.StoredAnswer {
 	if a == nil || !a.Complete {
 		return nil
 	}
+	if size := sizeOf(a); size > c.MaxAnswerBytes || c.kept+size > c.MaxKeptBytes {
+		return nil
+	}
+	return a
+}
+
+// sizeOf gives the bytes of an answer, headers included; zero for none.
+func sizeOf(a *wire.StoredAnswer) int {
+	if a == nil {
+		return 0
+	}
 	size := len(a.Body)
 	for _, h := range a.Headers {
 		size += len(h.Name) + len(h.Value)
 	}
-	if size > c.MaxAnswerBytes {
-		return nil
-	}
-	return a
+	return size
 }
--- a/internal/booking/home.go
+++ b/internal/booking/home.go
@@ -180,7 +180,7 @@
 	}
 	asked := r.round.candidates[:r.round.asked]
 	delete(c.runs, r.ref)
-	r.settle(now, c.bounded(m.Answer))
+	c.settle(now, r, m.Answer)
 	out := tell(asked, r.told())
 	if c.draining {
 		out = append(out, c.handOn(r)...)
--- a/internal/booking/witness.go
+++ b/internal/booking/witness.go
@@ -58,7 +58,7 @@
 	r.incarnation = fleet.Incarnation(q.HomeIncarnation)
 	r.claimID = ClaimID(q.ClaimId)
 	if q.Answer != nil {
-		r.settle(now, c.bounded(q.Answer))
+		c.settle(now, r, q.Answer)
 	}
 }
 
@@ -71,7 +71,7 @@
 	case running:
 		// Its own outcome is on the way.
 	default:
-		r.settle(now, c.bounded(a))
+		c.settle(now, r, a)
 	}
 }
 
--- a/internal/setting/sidecar.go
+++ b/internal/setting/sidecar.go
@@ -17,7 +17,7 @@
 	UpstreamAddress fleet.Address      `long:"upstream-address" env:"JASMINEWING_UPSTREAM_ADDRESS" value-name:"IP:PORT" description:"where the upstream listens"`
 
 	MaxParked Count `long:"max-parked" env:"JASMINEWING_MAX_PARKED" value-name:"N" default:"1024" description:"most offers that wait here"`
-	MaxKeys   Count `long:"max-keys" env:"JASMINEWING_MAX_KEYS" value-name:"N" default:"100000" description:"most idempotency keys that are remembered"`
+	MaxKeys   Count `long:"max-keys" env:"JASMINEWING_MAX_KEYS" value-name:"N" default:"50000" description:"most idempotency keys that are remembered"`
 
 	WeightLoadsPerMinute Count `long:"weight-loads-per-minute" env:"JASMINEWING_WEIGHT_LOADS_PER_MINUTE" value-name:"N" default:"60" description:"how many loads from the weight store all sidecars together begin in a minute; the same for all of them"`
 }
