Count a stream that its caller did not read as such

Cause: a streamed answer whose caller stopped reading was counted as whole, and as met, if the upstream's end came in whole. Ruled out: the write itself, which noticed and stopped. Result: TestStreamThatNobodyReads was red (ok), is green.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -126,13 +126,18 @@
 	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
-// judge gives how a request ended with what was kept of its answer. Before it
-// is concluded, only keeping can have failed on an answer that is not streamed.
+// judge gives how a request ended with what was kept or sent of its answer.
+// Before it is concluded, only keeping can have failed on an answer that is not
+// streamed, and only sending on one that is.
 func (a *answer) judge(f dispatch.Finish) dispatch.Finish {
-	if f.Code == result.OK && !a.streamed && a.failed {
+	switch {
+	case f.Code != result.OK || !a.failed:
+		return f
+	case a.streamed:
+		return dispatch.Finish{Code: result.CallerGone}
+	default:
 		return dispatch.Finish{Code: result.AnswerTooLarge}
 	}
-	return f
 }
 
 // conclude ends the answer. An answer that was begun and cannot be finished is
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,3 +50,17 @@
 		assert.Assert(t, strings.Contains(w.Body.String(), tt.want), w.Body.String())
 	}
 }
+
+// deafWriter is a caller that stopped reading.
+type deafWriter struct{ http.ResponseWriter }
+
+func (deafWriter) Write([]byte) (int, error) { return 0, errors.New("the caller stopped reading") }
+
+// A stream whose caller stopped reading did not reach it, though the upstream
+// ended it whole.
+func TestStreamThatNobodyReads(t *testing.T) {
+	a := &answer{w: deafWriter{httptest.NewRecorder()}, streamed: true}
+	a.takeHead(http.StatusOK, nil)
+	a.takeData([]byte("data: {}\n\n"))
+	assert.Equal(t, a.judge(dispatch.Finish{}).Code, result.CallerGone)
+}
