Let a key wait for its home also once the old one is unreached

Ruled out: the sidecar's stop, which refused nothing that ran. Result: the session key_waits_for_a_home_that_left was red (sidecar_unreached), is green.

--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -36,9 +36,13 @@
 	switch a.last.Code {
 	case result.NotHome, result.WitnessUnreached, result.KeyClaimedElsewhere:
 		return max(a.Rounds, homeRounds)
-	default:
-		return a.Rounds
+	case result.SidecarUnreached, result.UpstreamLeaving, result.Stopping:
+		// The home is gone, and this gateway has not heard of the next one yet.
+		if a.Request.Keyed {
+			return max(a.Rounds, homeRounds)
+		}
 	}
+	return a.Rounds
 }
 
 // shed says that every candidate refused for overload or for good: asking
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -184,6 +184,20 @@
 			s.at(9*ms, Ended{Attempt: 2, Complete: true})
 			return s
 		}},
+		{"key_waits_for_a_home_that_left", func() *session {
+			s := newSession(booking, "a")
+			s.core.Request.Keyed = true
+			s.at(0, Started{})
+			for i := AttemptNumber(1); i <= 6; i++ {
+				s.at(time.Duration(i)*200*ms, Refused{Attempt: i, Code: result.NotHome})
+				s.at(time.Duration(i)*200*ms+100*ms, Ticked{})
+			}
+			s.at(1400*ms, Lost{7})
+			s.at(1500*ms, Ticked{})
+			s.at(1501*ms, Granted{8})
+			s.at(1502*ms, Ended{Attempt: 8, Complete: true})
+			return s
+		}},
 		{"too_large_is_not_had_anew", func() *session {
 			s := newSession(draft, "a", "b")
 			s.at(0, Started{})
