Ask a row whether it serves something in one place

Cause: gateway's pool, fleet view and sidecar each walked a row's services with a loop of their own, and the sidecar kept a start time that nobody read. Change: table.Upstream.Offers serves all three; the field is gone.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -180,7 +180,7 @@
 	var best *Member
 	equals := 0
 	for _, m := range p.order {
-		if tried[m.Candidate] || !serves(m.Row, kind, s) || m.WhyNot(now) != result.OK {
+		if tried[m.Candidate] || !m.Row.Offers(kind, s) || m.WhyNot(now) != result.OK {
 			continue
 		}
 		switch order := compare(m, best); {
@@ -231,15 +231,3 @@
 func coldAndFull(m *Member) bool {
 	return m.Report.Cold && max(m.Report.InFlight, m.Offered) >= m.Report.Limit
 }
-
-func serves(row table.Upstream, kind table.UpstreamKind, s table.ServiceName) bool {
-	if row.Kind != kind {
-		return false
-	}
-	for _, served := range row.Serves {
-		if served == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/serving.go
+++ b/internal/fleet/serving.go
@@ -17,14 +17,8 @@
 			continue
 		}
 		row, ok := v.Table.Upstreams[vm.Upstream]
-		if !ok || row.Kind != kind || v.Table.WhyOut(row) != result.OK {
-			continue
-		}
-		for _, served := range row.Serves {
-			if served == s {
-				vms = append(vms, vm)
-				break
-			}
+		if ok && row.Offers(kind, s) && v.Table.WhyOut(row) == result.OK {
+			vms = append(vms, vm)
 		}
 	}
 	return vms
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -92,7 +92,6 @@
 	flights  flights
 	metrics  metricSet
 	attempts pending
-	started  time.Time
 
 	healthMu sync.Mutex
 	health   engine.Health
@@ -103,7 +102,6 @@
 // Init makes the sidecar ready to serve Work; it must come before the listener
 // serves.
 func (s *Sidecar) Init() {
-	s.started = time.Now()
 	s.admitter.Core = admission.Core{MaxParked: s.MaxParked}
 	s.admitter.Report = s.noteState
 	s.admitter.Count = s.reports.count
@@ -223,15 +221,7 @@
 		want = c.Service
 	}
 	row, ok := t.Upstreams[s.UpstreamName]
-	if !ok || row.Kind != c.Kind {
-		return false
-	}
-	for _, served := range row.Serves {
-		if served == want {
-			return true
-		}
-	}
-	return false
+	return ok && row.Offers(c.Kind, want)
 }
 
 // Ready says whether the sidecar may be offered work.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -14,6 +14,7 @@
 package table
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -95,6 +96,11 @@
 	State State
 }
 
+// Offers says that the upstream serves a model, or a plain service.
+func (u Upstream) Offers(kind UpstreamKind, s ServiceName) bool {
+	return u.Kind == kind && slices.Contains(u.Serves, s)
+}
+
 // Class is a row of the section classes.
 type Class struct {
 	Name ClassName
