--- a/cmd/jasminewing/main.go
+++ b/cmd/jasminewing/main.go
@@ -46,6 +46,7 @@
 var subcommands = []subcommand{
 	gatewaySubcommand,
 	sidecarSubcommand,
+	directSubcommand,
 	demoSubcommand,
 	statusSubcommand,
 	checkSubcommand,
--- /dev/null
+++ b/internal/catalog/task.go
@@ -0,0 +1,268 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+const (
+	// watchWait is how long the store may keep a watch waiting. Each watch is
+	// charged; other gateways tell of changes that a dead watch misses.
+	watchWait = 5 * time.Second
+	// answerTimeout bounds the store's answer beyond the time it may wait.
+	answerTimeout = time.Second
+	// retryFirst and retryMost are the pauses after calls that failed.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// behindAfter is how long another gateway may know more before it is asked:
+	// the store's own answer is usually on its way.
+	behindAfter  = 200 * time.Millisecond
+	fetchTimeout = time.Second
+)
+
+// ErrCompacted says that the store has dropped the history asked for.
+var ErrCompacted = errors.New("the store dropped this history")
+
+// Store is the platform's store, which can only be read.
+type Store interface {
+	// Range gives all entries, and a revision from which a watch misses nothing.
+	Range(ctx context.Context) ([]Entry, Revision, error)
+	// Watch waits for changes after a revision, for at most the time given.
+	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Entry, Revision, error)
+}
+
+// Task follows the store. Its exported fields are set before Run.
+type Task struct {
+	Store  Store
+	Decode func(key string, value []byte) (any, error)
+	// Fetch asks another gateway for its state.
+	Fetch func(ctx context.Context, address string, newerThan Revision) (*wire.PublishedState, error)
+	Log   *event.Log
+	// Changed is called with each new view.
+	Changed func(*route.View)
+
+	mu   sync.Mutex
+	core Core
+	view atomic.Pointer[route.View]
+	// fetching guards against several fetches at once.
+	fetching bool
+	// behindSince is when another gateway was first heard to know more.
+	behindSince time.Time
+	// abort ends the watch that is waiting; aborted says that it did.
+	abort   context.CancelFunc
+	aborted bool
+	timer   *time.Timer
+}
+
+// View gives what is in force.
+func (t *Task) View() *route.View {
+	if v := t.view.Load(); v != nil {
+		return v
+	}
+	return &route.View{}
+}
+
+// Revision gives the revision of what is known.
+func (t *Task) Revision() Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.At()
+}
+
+// Run follows the store until ctx ends.
+func (t *Task) Run(ctx context.Context) error {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		if err := t.step(ctx); err != nil && ctx.Err() == nil {
+			t.contact(err)
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// step makes one call to the store.
+func (t *Task) step(ctx context.Context) error {
+	t.mu.Lock()
+	t.core.Decode = t.Decode
+	loaded, at := t.core.Loaded(), t.core.At()
+	t.mu.Unlock()
+	if !loaded {
+		return t.load(ctx)
+	}
+	watching, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
+	defer cancel()
+	t.mu.Lock()
+	t.abort = cancel
+	t.mu.Unlock()
+	changes, now, err := t.Store.Watch(watching, at, watchWait)
+	switch {
+	case errors.Is(err, ErrCompacted):
+		t.Log.Write(event.HistoryDropped, "revision", uint64(at))
+		return t.load(ctx)
+	case err != nil && t.wasAborted():
+		// The next watch, on a connection of its own, tells whether the store answers.
+		return nil
+	case err != nil:
+		return err
+	}
+	t.contact(nil)
+	t.apply(func(c *Core, clock time.Time) []Fault { return c.Change(clock, changes, now) })
+	return nil
+}
+
+func (t *Task) wasAborted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was := t.aborted
+	t.aborted = false
+	return was
+}
+
+// load reads everything.
+func (t *Task) load(ctx context.Context) error {
+	reading, cancel := context.WithTimeout(ctx, 2*answerTimeout)
+	defer cancel()
+	entries, at, err := t.Store.Range(reading)
+	if err != nil {
+		return err
+	}
+	t.contact(nil)
+	t.apply(func(c *Core, clock time.Time) []Fault { return c.Load(clock, entries, at, c.Settled(clock)) })
+	return nil
+}
+
+// contact notes whether the store answers.
+func (t *Task) contact(err error) {
+	t.mu.Lock()
+	changed := t.core.Contact(time.Now(), err == nil)
+	at := t.core.At()
+	t.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		t.Log.Write(event.ConfigDown, "error", err, "revision", uint64(at))
+	default:
+		t.Log.Write(event.ConfigBack, "revision", uint64(at))
+	}
+}
+
+// apply changes the core and publishes the new view.
+func (t *Task) apply(change func(*Core, time.Time) []Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	before := t.View()
+	for _, f := range change(&t.core, now) {
+		t.Log.WriteThrottled(event.EntrySkipped, f.Key, "key", f.Key, "error", f.Cause)
+	}
+	v := t.core.View(now)
+	t.view.Store(v)
+	if v.Table != nil && v.Table != before.Table {
+		t.Log.Write(event.TableApplied, "revision", uint64(v.Revision), "version", int64(v.Table.Version),
+			"routes", len(v.Table.Routes))
+	}
+	if t.Changed != nil {
+		t.Changed(v)
+	}
+	t.wakeAt(now)
+}
+
+// wakeAt applies what changes by itself.
+func (t *Task) wakeAt(now time.Time) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	next := t.core.Next()
+	if next.IsZero() {
+		return
+	}
+	// A lapse that is due while the store is away is looked at again later.
+	t.timer = time.AfterFunc(max(next.Sub(now), retryMost), func() {
+		t.apply(func(*Core, time.Time) []Fault { return nil })
+	})
+}
+
+// Heard is told what revision another gateway has.
+func (t *Task) Heard(ctx context.Context, address string, r Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	switch {
+	case r <= t.core.At():
+		t.behindSince = time.Time{}
+		return
+	case t.behindSince.IsZero():
+		t.behindSince = now
+		return
+	case t.fetching || now.Sub(t.behindSince) < behindAfter:
+		return
+	}
+	t.fetching = true
+	if t.abort != nil {
+		t.aborted = true
+		t.abort()
+	}
+	go t.fetch(ctx, address)
+}
+
+// fetch takes over what another gateway knows.
+func (t *Task) fetch(ctx context.Context, address string) {
+	defer func() {
+		t.mu.Lock()
+		t.fetching = false
+		t.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	state, err := t.Fetch(ctx, address, t.Revision())
+	if err != nil {
+		t.Log.WriteThrottled(event.FetchFailed, address, "error", err)
+		return
+	}
+	entries := make([]Entry, 0, len(state.Entries))
+	for _, e := range state.Entries {
+		entries = append(entries, Entry{Key: e.Key, Value: e.Value, Revision: Revision(e.Revision)})
+	}
+	if len(entries) == 0 {
+		return
+	}
+	t.Log.Write(event.FetchedState, "from", address, "revision", state.Revision)
+	t.apply(func(c *Core, now time.Time) []Fault {
+		c.Decode = t.Decode
+		return c.Load(now, entries, Revision(state.Revision), state.Settled)
+	})
+}
+
+// State gives what is known, if it is newer than the revision given.
+func (t *Task) State(newerThan Revision) *wire.PublishedState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &wire.PublishedState{Revision: uint64(t.core.At()), Settled: t.core.Settled(time.Now())}
+	if t.core.At() <= newerThan {
+		return s
+	}
+	for _, e := range t.core.Entries() {
+		s.Entries = append(s.Entries, &wire.PublishedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/direct/answer.go
@@ -0,0 +1,133 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
+	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
+}
+
+// copyHeader copies what is not of one connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+}
+
+// PassedOn copies a caller's header without what concerns its connection.
+func PassedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	copyHeader(out, h)
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	return out
+}
+
+// conclude gives the caller its final answer, unless it is out.
+func (t *transfer) conclude(ctx context.Context, err error) {
+	switch {
+	case result.CodeOf(err) == result.CallerGone && !errors.Is(context.Cause(ctx), errDeadline):
+		// Nobody is there; a closed connection promises nothing.
+		panic(http.ErrAbortHandler)
+	case err != nil && t.headOut:
+		// A stream that cannot be finished must not look complete.
+		panic(http.ErrAbortHandler)
+	case err != nil && t.kept == nil:
+		t.refuse(err)
+	case t.kept != nil && !t.headOut:
+		t.passKept()
+	}
+}
+
+func (t *transfer) passKept() {
+	h := t.w.Header()
+	copyHeader(h, t.kept.header)
+	h.Set("Content-Length", strconv.Itoa(len(t.kept.body)))
+	t.w.WriteHeader(t.kept.status)
+	_, _ = t.w.Write(t.kept.body)
+}
+
+// refuse answers with an error of the gateway's own.
+func (t *transfer) refuse(err error) {
+	code := result.CodeOf(err)
+	t.gateway.metrics.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_refusals_total{code=%q}", strconv.Itoa(int(code)))).Inc()
+	h := t.w.Header()
+	h.Set("Content-Type", "application/json")
+	status := t.gateway.Callers.Refuse(h, t.call, code, result.RetryAfterOf(err))
+	id := ""
+	if t.call != nil {
+		id = string(t.call.ID)
+	}
+	if t.mayHaveRun && refusal(status) {
+		status = http.StatusBadGateway
+	}
+	body, failed := json.Marshal(code.Answer(result.DetailOf(err), !t.mayHaveRun, id))
+	if failed != nil {
+		body = []byte(`{}`)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	t.w.WriteHeader(status)
+	_, _ = t.w.Write(body)
+}
+
+// log writes the one line that says how the request ended and why.
+func (t *transfer) log(err error) {
+	code := result.CodeOf(err)
+	fields := []any{"code", int(code), "total_ms", time.Since(t.arrived).Milliseconds()}
+	if c := t.call; c != nil {
+		fields = append(fields, "request_id", c.ID)
+		if c.route != nil {
+			fields = append(fields, "route", c.route.Name, "version", int64(c.version), "service", c.service)
+		}
+		if c.account != nil {
+			fields = append(fields, "account", c.account.Name)
+		}
+	}
+	if !t.first.IsZero() {
+		fields = append(fields, "first_ms", t.first.Sub(t.arrived).Milliseconds(), "events", t.events)
+	}
+	if t.kept != nil {
+		fields = append(fields, "status", t.kept.status)
+	}
+	if len(t.sends) > 0 {
+		fields = append(fields, "sends", t.sendsText())
+	}
+	if err != nil {
+		fields = append(fields, "error", result.DetailOf(err), "may_have_run", t.mayHaveRun)
+	}
+	t.gateway.metrics.ended(t, code)
+	t.gateway.Log.Write(event.RequestEnded, fields...)
+}
+
+// sendsText gives the sends as upstream:outcome:milliseconds.
+func (t *transfer) sendsText() string {
+	var b strings.Builder
+	for i, s := range t.sends {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s:%s:%d", s.upstream, s.outcome, s.took.Milliseconds())
+		if s.detail != "" {
+			fmt.Fprintf(&b, "(%s)", s.detail)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/direct/call.go
@@ -0,0 +1,96 @@
+// Package direct is a gateway that sends callers' requests to upstreams
+// directly, where no sidecar stands beside them. It reads a request whole,
+// finds its route and client account, asks placement for an upstream, and
+// holds the request until its final answer is out.
+//
+// What callers and upstreams speak is translated by a CallerProtocol and an
+// UpstreamProtocol; nothing here knows a header of theirs.
+//
+// # Usage
+//
+//	g := &direct.Gateway{Callers: c, Upstreams: u, Catalog: catalog, Desk: desk, Log: log}
+//	g.Init()
+//	http.Serve(listener, g)
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// CallID is the caller's name of one request.
+type CallID string
+
+// Call is a caller's request.
+type Call struct {
+	ID     CallID
+	Method string
+	Host   string
+	// Path selects the route; Target is the whole request target.
+	Path   string
+	Target string
+	// Key names the client account; empty for none.
+	Key string
+	// Patience is how long the caller waits; zero for unsaid.
+	Patience time.Duration
+	// Prompt is empty for a plain service.
+	Prompt []placement.Part
+	// OutputTokens is the most, and OutputHint the caller's guess, of the tokens
+	// of the answer; zero for unsaid.
+	OutputTokens, OutputHint int
+	// After is the last event that the caller has of a stream; empty for none.
+	After string
+	// Header holds what is passed on.
+	Header http.Header
+	Body   []byte
+
+	arrived  time.Time
+	deadline time.Time
+	route    *route.Route
+	account  *route.Account
+	version  route.Version
+	service  route.ServiceName
+}
+
+// CallerProtocol reads callers' requests and words refusals.
+type CallerProtocol interface {
+	// Read understands a request's head. The error is a *result.Error.
+	Read(r *http.Request) (*Call, error)
+	// Refuse sets the headers of an answer of the gateway's own and gives its
+	// status; c may be nil, retryAfter is zero for unsaid.
+	Refuse(h http.Header, c *Call, code result.Code, retryAfter time.Duration) (status int)
+}
+
+// Sending is what an upstream is told beside the call itself.
+type Sending struct {
+	Upstream route.UpstreamID
+	// Account is empty for a caller without one.
+	Account route.AccountName
+	// Left is the time in which the answer is wanted.
+	Left     time.Duration
+	Priority route.Priority
+	// After resumes a stream after this event; empty to start it.
+	After string
+}
+
+// Reply is what the head of an upstream's answer says.
+type Reply struct {
+	// NotRun says that the upstream did not run the request and never will.
+	NotRun bool
+	// Misdirected says that another upstream has the address.
+	Misdirected bool
+	// Genuine says that the answer is the upstream's own, unaltered.
+	Genuine bool
+}
+
+// UpstreamProtocol words requests to upstreams and reads their answers.
+type UpstreamProtocol interface {
+	Header(c *Call, s Sending) http.Header
+	// Belongs says whether an answer is that of the call.
+	Belongs(c *Call, r *http.Response) bool
+	Reply(c *Call, r *http.Response) Reply
+}
--- /dev/null
+++ b/internal/direct/events.go
@@ -0,0 +1,100 @@
+package direct
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// streamBuffer is the size of the reads of a stream in bytes.
+const streamBuffer = 8 << 10
+
+// maxEvent bounds an event of a stream in bytes; a longer one is passed on in
+// parts, and can't be resumed after.
+const maxEvent = 256 << 10
+
+// events reads a stream of server-sent events and gives out whole events only,
+// so that a stream that breaks within one can be resumed after the one before.
+type events struct {
+	source io.Reader
+	// last is the id of the last whole event given out; empty for none.
+	last string
+	// count is the number of whole events given out.
+	count   int
+	buffer  []byte
+	pending []byte
+}
+
+// next gives the whole events that have come, as they came. After an error,
+// rest gives what is left of an unfinished event.
+func (e *events) next() ([]byte, error) {
+	if e.buffer == nil {
+		e.buffer = make([]byte, streamBuffer)
+	}
+	for {
+		n, err := e.source.Read(e.buffer)
+		e.pending = append(e.pending, e.buffer[:n]...)
+		if whole := e.cut(); len(whole) > 0 || err != nil {
+			return whole, err
+		}
+	}
+}
+
+// cut takes the whole events from what is pending.
+func (e *events) cut() []byte {
+	end := lastEnd(e.pending)
+	if end == 0 {
+		if len(e.pending) < maxEvent {
+			return nil
+		}
+		end = len(e.pending)
+	}
+	whole := e.pending[:end:end]
+	e.pending = append([]byte(nil), e.pending[end:]...)
+	e.note(whole)
+	return whole
+}
+
+// lastEnd gives the length up to the last empty line, which ends an event.
+func lastEnd(b []byte) int {
+	end := 0
+	for _, mark := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.LastIndex(b, []byte(mark)); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+// note keeps the last id and counts events.
+func (e *events) note(whole []byte) {
+	for line := range bytes.Lines(whole) {
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if found && string(name) == "id" {
+			e.last = strings.TrimSpace(string(value))
+			e.count++
+		}
+	}
+}
+
+// firstID gives the id of the first event; empty for none.
+func firstID(whole []byte) string {
+	for line := range bytes.Lines(whole) {
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if found && string(name) == "id" {
+			return strings.TrimSpace(string(value))
+		}
+	}
+	return ""
+}
+
+// follows says that a stream resumed after one event goes on with the next.
+func follows(after, first string) bool {
+	a, err := strconv.ParseInt(after, 10, 64)
+	if err != nil {
+		return true
+	}
+	f, err := strconv.ParseInt(first, 10, 64)
+	return err == nil && f == a+1
+}
--- /dev/null
+++ b/internal/direct/gateway.go
@@ -0,0 +1,170 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/upstream"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// Catalog gives what is published.
+type Catalog interface{ View() *route.View }
+
+// Suspects judges requests that upstreams ended under.
+type Suspects interface {
+	// Refused says that a request is not to be sent any more.
+	Refused(now time.Time, f suspect.Fingerprint) bool
+	// Died tells that an upstream ended while it ran these requests.
+	Died(now time.Time, u route.UpstreamID, f []suspect.Fingerprint)
+}
+
+// Gateway serves callers. Its exported fields are set before Init.
+type Gateway struct {
+	Callers   CallerProtocol
+	Upstreams UpstreamProtocol
+	Catalog   Catalog
+	Desk      *placement.Desk
+	Suspects  Suspects
+	Log       *event.Log
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	metrics  metricSet
+
+	mu    sync.Mutex
+	pools map[poolKey]*upstream.Pool
+}
+
+// poolKey names one incarnation of an upstream.
+type poolKey struct {
+	id      route.UpstreamID
+	address string
+	born    int64
+}
+
+// Init prepares the gateway for use.
+func (g *Gateway) Init() {
+	g.pools = make(map[poolKey]*upstream.Pool)
+	g.metrics.init(g)
+}
+
+// Ready says that the gateway takes callers' requests.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.Catalog.View().Table != nil }
+
+// Drain makes readiness fail and asks callers to close their connections.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// InFlight gives the number of requests being served.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// WriteMetrics writes the gateway's metrics as text.
+func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
+
+// Published takes over a view: upstreams that are gone lose their connections.
+func (g *Gateway) Published(v *route.View) {
+	g.Desk.Tell(placement.Published{View: v})
+	present := make(map[poolKey]bool, len(v.Upstreams))
+	for _, u := range v.Upstreams {
+		present[keyOf(u)] = true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for k, p := range g.pools {
+		if !present[k] {
+			p.Close()
+			delete(g.pools, k)
+			g.Log.Write(event.UpstreamRemoved, "upstream", k.id, "revision", v.Revision)
+		}
+	}
+}
+
+func keyOf(u route.Upstream) poolKey { return poolKey{u.ID, u.Address, u.Born} }
+
+// poolOf gives the connections to an upstream.
+func (g *Gateway) poolOf(u route.Upstream) *upstream.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := keyOf(u)
+	p := g.pools[k]
+	if p == nil {
+		p = &upstream.Pool{Address: u.Address, Opened: g.metrics.connections.Inc}
+		g.pools[k] = p
+		g.Log.Write(event.UpstreamListed, "upstream", u.ID, "service", u.Service, "address", u.Address,
+			"data_centre", u.DataCentre, "cold_ms", u.ColdFor.Milliseconds())
+	}
+	return p
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	t := &transfer{gateway: g, w: w, arrived: time.Now()}
+	t.serve(r)
+}
+
+// metricSet holds the gateway's metrics.
+type metricSet struct {
+	set         *metrics.Set
+	connections *metrics.Counter
+}
+
+func (m *metricSet) init(g *Gateway) {
+	m.set = metrics.NewSet()
+	m.connections = m.set.NewCounter("jasminewing_upstream_connections_total")
+	m.set.NewGauge("jasminewing_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
+	m.set.NewGauge("jasminewing_table_revision", func() float64 { return float64(g.Catalog.View().Revision) })
+}
+
+// ended counts a request by route and code, and its times.
+func (m *metricSet) ended(t *transfer, code result.Code) {
+	name := ""
+	if t.call != nil && t.call.route != nil {
+		name = t.call.route.Name
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_requests_total{route=%q,code=\"%d\"}", name, code)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_request_seconds{route=%q}", name)).Update(time.Since(t.arrived).Seconds())
+	if !t.first.IsZero() {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_first_part_seconds{route=%q}", name)).Update(t.first.Sub(t.arrived).Seconds())
+	}
+	for _, s := range t.sends {
+		m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_sends_total{outcome=%q}", s.outcome.String())).Inc()
+	}
+}
+
+// drainPoll is how often a draining gateway looks whether all has ended.
+const drainPoll = 50 * time.Millisecond
+
+// Settle waits until nothing has been in flight for a quiet time, or ctx ends.
+func (g *Gateway) Settle(ctx context.Context, quiet time.Duration) {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	busy := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			if g.InFlight() > 0 {
+				busy = now
+			} else if now.Sub(busy) >= quiet {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/event/writer.go
@@ -0,0 +1,66 @@
+package event
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync/atomic"
+)
+
+// writerRoom is the most lines that wait for the output.
+const writerRoom = 4096
+
+// Writer hands lines to an output that may be slow. Write never blocks: when
+// the output does not keep up, lines are dropped and counted.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+// NewWriter makes a Writer.
+func NewWriter() *Writer { return &Writer{lines: make(chan []byte, writerRoom)} }
+
+// Write takes one line.
+func (w *Writer) Write(p []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(p):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped gives the number of lines dropped so far.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// Run writes lines to out until ctx ends, and then those that wait. Lines that
+// wait together go out together.
+func (w *Writer) Run(ctx context.Context, out io.Writer) error {
+	var b bytes.Buffer
+	for {
+		select {
+		case line := <-w.lines:
+			w.gather(&b, line)
+		case <-ctx.Done():
+			w.gather(&b, nil)
+			_, err := out.Write(b.Bytes())
+			return err
+		}
+		if _, err := out.Write(b.Bytes()); err != nil {
+			return err
+		}
+		b.Reset()
+	}
+}
+
+func (w *Writer) gather(b *bytes.Buffer, line []byte) {
+	b.Write(line)
+	for {
+		select {
+		case line := <-w.lines:
+			b.Write(line)
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/message.go
@@ -0,0 +1,169 @@
+// Package placement decides which upstream a gateway sends a request to, who
+// waits, and who is refused. It does no I/O.
+//
+// A gateway has one Core. It is told what is published, what other gateways
+// have in flight, and how each request went; it answers with grants and
+// refusals. All gateways decide for themselves: bounds that hold for the sum of
+// them, such as the rate that a cold upstream bears, are divided by the number
+// of gateways that may be there.
+//
+// # Usage
+//
+//	c := &placement.Core{DataCentre: "ne-east-a", Seed: seed}
+//	c.Handle(now, placement.Published{View: view})
+//	for _, e := range c.Handle(now, placement.Ask{Ticket: 1, Request: r}) {
+//		switch e := e.(type) {
+//		case placement.Grant: // send to e.Upstream, then tell Begun and Done
+//		case placement.Refuse: // answer with e.Code
+//		}
+//	}
+package placement
+
+import (
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+// Ticket names a request, or a further send of one, at this gateway.
+type Ticket uint64
+
+// PartID names a part of a prompt.
+type PartID uint64
+
+// Part is a part of a prompt. Requests with the same parts in the same order
+// share them in an engine's cache.
+type Part struct {
+	ID     PartID
+	Tokens int
+}
+
+// Request is what the core knows of a request.
+type Request struct {
+	Service   route.ServiceName
+	Priority  route.Priority
+	Objective time.Duration
+	Arrived   time.Time
+	// Deadline is when the answer must be there.
+	Deadline time.Time
+	// Prompt is empty for a plain service.
+	Prompt []Part
+	// OutputTokens is the expected number of tokens of the answer.
+	OutputTokens int
+	// Bytes is the size of request and expected answer.
+	Bytes int
+	// Tried are upstreams that it was sent to before.
+	Tried []route.UpstreamID
+}
+
+// Message is what the core is told.
+type Message interface{ message() }
+
+// Published is a new view of what is published.
+type Published struct{ View *route.View }
+
+// Ask wants an upstream for a request.
+type Ask struct {
+	Ticket  Ticket
+	Request Request
+}
+
+// Begun says that the first part of an answer came.
+type Begun struct{ Ticket Ticket }
+
+// Done says that a granted request has ended at its upstream.
+type Done struct {
+	Ticket  Ticket
+	Outcome Outcome
+}
+
+// Withdrawn says that a request that waits is no longer wanted.
+type Withdrawn struct{ Ticket Ticket }
+
+// Heard is what another gateway has in flight.
+type Heard struct {
+	Gateway string
+	Loads   map[route.UpstreamID]Load
+}
+
+// Gateways says how many gateways there are, this one included.
+type Gateways struct{ Count int }
+
+// Ticked lets time pass for those who wait.
+type Ticked struct{}
+
+func (Published) message() {}
+func (Ask) message()       {}
+func (Begun) message()     {}
+func (Done) message()      {}
+func (Withdrawn) message() {}
+func (Heard) message()     {}
+func (Gateways) message()  {}
+func (Ticked) message()    {}
+
+// Outcome says how a send ended.
+type Outcome int
+
+// Outcomes.
+const (
+	// Served: a whole answer, of whatever meaning.
+	Served Outcome = iota
+	// Failed: the upstream answered with a failure of its own, or spoiled.
+	Failed
+	// Broken: the connection ended before the answer was whole.
+	Broken
+	// Unreached: no connection could be made.
+	Unreached
+	// Full: the upstream said that it did not run the request.
+	Full
+	// Misdirected: another upstream has the address.
+	Misdirected
+	// Silent: no answer in time.
+	Silent
+	// Left: the caller has left.
+	Left
+)
+
+var outcomeNames = [...]string{"served", "failed", "broken", "unreached", "full", "misdirected", "silent", "left"}
+
+// String gives the outcome's name in snake case.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Load is what a gateway has in flight at an upstream.
+type Load struct {
+	InFlight int
+	// WaitingTokens are prompt tokens sent whose answer has not begun.
+	WaitingTokens int
+	// MemoryTokens is the memory that the requests are expected to take.
+	MemoryTokens int
+}
+
+// Effect is what the core wants done.
+type Effect interface{ effect() }
+
+// Grant lets a request go to an upstream.
+type Grant struct {
+	Ticket   Ticket
+	Upstream route.Upstream
+	// Expected is the time in which the answer is expected to begin.
+	Expected time.Duration
+}
+
+// Refuse ends a request that has not been sent.
+type Refuse struct {
+	Ticket     Ticket
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// Avoided says that an upstream gets no requests for a while.
+type Avoided struct {
+	Upstream route.UpstreamID
+	For      time.Duration
+	Outcome  Outcome
+}
+
+func (Grant) effect()   {}
+func (Refuse) effect()  {}
+func (Avoided) effect() {}
--- /dev/null
+++ b/internal/process/direct.go
@@ -0,0 +1,260 @@
+package process
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/fx"
+
+	"jasminewing.dev/jasminewing/internal/catalog"
+	"jasminewing.dev/jasminewing/internal/direct"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/roster"
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/wire"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+const (
+	// memoryShare is the part of the memory limit at which the garbage collector
+	// works harder.
+	memoryShare = 0.7
+	// settleTime is how long callers are still taken after readiness failed: the
+	// balancer asks once a second and sends on until it has missed two answers.
+	settleTime = 3 * time.Second
+	// quietTime is how long nothing may be in flight before a stopping gateway
+	// closes what is idle.
+	quietTime = 300 * time.Millisecond
+	// stopMargin is left of the time to stop for the end of the program.
+	stopMargin = 500 * time.Millisecond
+	// directIdleTimeout is longer than callers reuse a connection.
+	directIdleTimeout = time.Minute
+)
+
+// Direct is the program of a gateway that sends to upstreams directly. Its
+// exported fields are set before App.
+type Direct struct {
+	Name       string
+	DataCentre route.DataCentre
+	// Listen is for callers, ReadyListen for the balancer's checks at ReadyPath,
+	// PeerListen for other gateways, MetricsListen for metrics.
+	Listen, ReadyListen, PeerListen, MetricsListen fleet.Address
+	ReadyPath                                      string
+	Seeds                                          []string
+	// Secret is shared by all gateways.
+	Secret wire.Secret
+	// Memory bounds the process in bytes.
+	Memory    int64
+	StopLimit time.Duration
+	Repeats   placement.RepeatBounds
+
+	Store     catalog.Store
+	Decode    func(key string, value []byte) (any, error)
+	Callers   direct.CallerProtocol
+	Upstreams direct.UpstreamProtocol
+
+	Log    *event.Log
+	Writer *event.Writer
+	Stdout io.Writer
+}
+
+// App assembles the program.
+func (p *Direct) App() *fx.App {
+	debug.SetMemoryLimit(int64(memoryShare * float64(p.Memory)))
+	return fx.New(
+		options(0),
+		fx.Supply(p, p.Log),
+		fx.Provide(p.dialer, p.desk, p.catalog, p.roster, p.gateway),
+		fx.Invoke(p.run),
+	)
+}
+
+func (p *Direct) dialer(lc fx.Lifecycle) *wire.Dialer {
+	d := &wire.Dialer{Secret: p.Secret}
+	lc.Append(fx.StopHook(func() { _ = d.Close() }))
+	return d
+}
+
+func (p *Direct) desk(inc fleet.Incarnation) *placement.Desk {
+	return &placement.Desk{
+		Core:   placement.Core{DataCentre: p.DataCentre, Seed: seedOf(inc)},
+		Budget: placement.Budget{Bounds: p.Repeats},
+		Log:    p.Log,
+	}
+}
+
+func (p *Direct) catalog(d *wire.Dialer) *catalog.Task {
+	return &catalog.Task{
+		Store:  p.Store,
+		Decode: p.Decode,
+		Log:    p.Log,
+		Fetch: func(ctx context.Context, address string, newerThan catalog.Revision) (*wire.PublishedState, error) {
+			return wire.NewDRPCGatewaysClient(d.To(address)).Fetch(ctx, &wire.FetchRequest{NewerThan: uint64(newerThan)})
+		},
+	}
+}
+
+func (p *Direct) roster(d *wire.Dialer, k *placement.Desk, c *catalog.Task, b *suspect.Book, inc fleet.Incarnation) *roster.Task {
+	t := &roster.Task{
+		Self: string(p.PeerListen), DataCentre: p.DataCentre, Incarnation: inc, Seeds: p.Seeds,
+		Dialer: d, Desk: k, Catalog: c, Suspects: b, Log: p.Log,
+	}
+	b.Spread = t.Spread
+	return t
+}
+
+func (p *Direct) gateway(k *placement.Desk, c *catalog.Task, b *suspect.Book) *direct.Gateway {
+	g := &direct.Gateway{
+		Callers: p.Callers, Upstreams: p.Upstreams, Catalog: c, Desk: k, Suspects: directSuspects{b}, Log: p.Log,
+	}
+	g.Init()
+	c.Changed = g.Published
+	return g
+}
+
+// directListeners are the open listeners of the program.
+type directListeners struct{ callers, ready, peers, metrics net.Listener }
+
+func (p *Direct) open() (l directListeners, err error) {
+	for _, o := range []struct {
+		to *net.Listener
+		at fleet.Address
+	}{{&l.callers, p.Listen}, {&l.ready, p.ReadyListen}, {&l.peers, p.PeerListen}, {&l.metrics, p.MetricsListen}} {
+		if *o.to, err = listen(nil, o.at); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+func (p *Direct) run(lc fx.Lifecycle, gr *group, k *placement.Desk, c *catalog.Task, t *roster.Task, g *direct.Gateway) error {
+	l, err := p.open()
+	if err != nil {
+		return err
+	}
+	writing, stopWriting := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(written)
+				_ = p.Writer.Run(writing, p.Stdout)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			stopWriting()
+			<-written
+			return nil
+		},
+	})
+	server := &wire.Server{Secret: p.Secret, Gateways: t}
+	server.Refused = func(remote string, err error) {
+		p.Log.WriteThrottled(event.PeerRefused, remote, "code", int(result.CodeOf(err)), "error", err)
+	}
+	lc.Append(fx.StartHook(func() {
+		gr.run(k.Run)
+		gr.run(c.Run)
+		gr.run(t.Run)
+		gr.run(p.watchLog)
+		gr.run(func(ctx context.Context) error { return server.Serve(ctx, l.peers) })
+	}))
+	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
+	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g)))
+	serveHTTP(lc, gr, l.callers, newDirectServer(g))
+	lc.Append(fx.StopHook(func(context.Context) { p.drain(g) }))
+	p.Log.Write(event.Started, "program", "direct", "vm", p.Name, "data_centre", p.DataCentre,
+		"listen", p.Listen, "peer_listen", p.PeerListen, "metrics_listen", p.MetricsListen)
+	return nil
+}
+
+// newDirectServer serves callers. A call bounds its own body and answer.
+func newDirectServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.IdleTimeout = directIdleTimeout
+	s.ErrorLog = log.New(io.Discard, "", 0)
+	return s
+}
+
+func metricsHandler(g *direct.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		g.WriteMetrics(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
+
+func (p *Direct) readyHandler(g *direct.Gateway) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc(p.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return m
+}
+
+// watchLog tells of dropped lines.
+func (p *Direct) watchLog(ctx context.Context) error {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	var told uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		if n := p.Writer.Dropped(); n > told {
+			p.Log.Write(event.LinesDropped, "lines", n-told)
+			told = n
+		}
+	}
+}
+
+// drain makes readiness fail, serves what still comes, and waits until all has
+// ended or the time to stop is up.
+func (p *Direct) drain(g *direct.Gateway) {
+	g.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), p.StopLimit-stopMargin)
+	defer cancel()
+	settle := time.NewTimer(min(settleTime, p.StopLimit/2))
+	defer settle.Stop()
+	<-settle.C
+	g.Settle(ctx, quietTime)
+}
+
+// seedOf makes a number of an incarnation.
+func seedOf(inc fleet.Incarnation) uint64 {
+	var n uint64
+	for _, b := range []byte(inc) {
+		n = n*131 + uint64(b)
+	}
+	return n
+}
+
+// directSuspects asks the book of suspects by fingerprint alone.
+type directSuspects struct{ book *suspect.Book }
+
+// Refused says that a request is not to be sent any more.
+func (s directSuspects) Refused(now time.Time, f suspect.Fingerprint) bool {
+	_, err := s.book.Judge(now, &wire.Offer{Fingerprint: []byte(f)})
+	return err != nil
+}
+
+// Died tells that an upstream ended while it ran requests.
+func (s directSuspects) Died(now time.Time, u route.UpstreamID, fs []suspect.Fingerprint) {
+	offers := make([]*wire.Offer, 0, len(fs))
+	for _, f := range fs {
+		offers = append(offers, &wire.Offer{Fingerprint: []byte(f)})
+	}
+	s.book.Died(now, fleet.Incarnation(u), offers)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,251 @@
+// Package roster is what gateways that send to upstreams directly tell each
+// other: who is there, what each has in flight, the revision it knows, and the
+// requests that upstreams ended under. There is no leader and no agreement: each
+// tells what it knows, and what is heard ages.
+//
+// # Usage
+//
+//	t := &roster.Task{Self: "10.1.0.40:8229", Seeds: seeds, Dialer: d, Desk: desk, Catalog: c}
+//	go t.Run(ctx)
+//	server := &wire.Server{Gateways: t}
+package roster
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/catalog"
+	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+const (
+	// interval is the time between two exchanges with another gateway. Bytes
+	// between data centres are charged, and placement needs loads within a second.
+	interval = 400 * time.Millisecond
+	// callTimeout bounds an exchange.
+	callTimeout = 500 * time.Millisecond
+	// silentAfter is when a gateway counts as silent; it is then asked less often.
+	silentAfter = 2 * time.Second
+	// silentInterval is the time between two calls to a silent gateway.
+	silentInterval = 2 * time.Second
+	// forgetAfter is when a silent gateway ceases to count in shares of bounds of
+	// the fleet: one that is cut off may go on sending until then.
+	forgetAfter = 2 * time.Minute
+)
+
+// Desk is told what other gateways have in flight.
+type Desk interface {
+	Tell(placement.Message)
+	Loads() map[route.UpstreamID]placement.Load
+}
+
+// Catalog is told what revision others know, and gives its own state.
+type Catalog interface {
+	Heard(ctx context.Context, address string, r catalog.Revision)
+	Revision() catalog.Revision
+	State(newerThan catalog.Revision) *wire.PublishedState
+}
+
+// Task keeps in touch with the other gateways. Its exported fields are set
+// before Run.
+type Task struct {
+	// Self is where this gateway serves the others.
+	Self        string
+	DataCentre  route.DataCentre
+	Incarnation fleet.Incarnation
+	// Seeds are asked until they are heard from.
+	Seeds    []string
+	Dialer   *wire.Dialer
+	Desk     Desk
+	Catalog  Catalog
+	Suspects *suspect.Book
+	Log      *event.Log
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	now   chan struct{}
+}
+
+// peer is another gateway.
+type peer struct {
+	heard   time.Time
+	asked   time.Time
+	calling bool
+	silent  bool
+}
+
+// Run exchanges until ctx ends.
+func (t *Task) Run(ctx context.Context) error {
+	t.mu.Lock()
+	t.init()
+	t.mu.Unlock()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		t.round(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-t.now:
+		}
+	}
+}
+
+func (t *Task) init() {
+	if t.peers != nil {
+		return
+	}
+	t.peers = make(map[string]*peer)
+	t.now = make(chan struct{}, 1)
+	for _, s := range t.Seeds {
+		t.meet(s)
+	}
+}
+
+// meet notes a gateway that was named.
+func (t *Task) meet(address string) {
+	if address != t.Self && address != "" && t.peers[address] == nil {
+		t.peers[address] = &peer{}
+	}
+}
+
+// round calls each gateway that is due.
+func (t *Task) round(ctx context.Context, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, p := range t.peers {
+		t.age(now, address, p)
+		if p.calling || p.silent && now.Sub(p.asked) < silentInterval {
+			continue
+		}
+		p.calling, p.asked = true, now
+		go t.call(ctx, address)
+	}
+	t.Desk.Tell(placement.Gateways{Count: t.counted(now)})
+}
+
+// age marks a gateway that is no longer heard from.
+func (t *Task) age(now time.Time, address string, p *peer) {
+	if p.silent || now.Sub(p.heard) < silentAfter {
+		return
+	}
+	p.silent = true
+	if !p.heard.IsZero() {
+		t.Log.Write(event.GatewaySilent, "gateway", address, "heard_ms_ago", now.Sub(p.heard).Milliseconds())
+	}
+}
+
+// counted gives the number of gateways that may be sending, with this one.
+func (t *Task) counted(now time.Time) int {
+	n := 1
+	for _, p := range t.peers {
+		if !p.heard.IsZero() && now.Sub(p.heard) < forgetAfter {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Task) call(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := wire.NewDRPCGatewaysClient(t.Dialer.To(address)).Tell(ctx, t.state(time.Now()))
+	t.mu.Lock()
+	t.peers[address].calling = false
+	t.mu.Unlock()
+	if err == nil {
+		t.hear(ctx, state)
+	}
+}
+
+// state is what this gateway tells.
+func (t *Task) state(now time.Time) *wire.GatewayState {
+	s := &wire.GatewayState{
+		Address:     t.Self,
+		DataCentre:  string(t.DataCentre),
+		Incarnation: string(t.Incarnation),
+		Revision:    uint64(t.Catalog.Revision()),
+		Suspicions:  t.Suspects.Share(now),
+	}
+	loads := t.Desk.Loads()
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[id]
+		s.Loads = append(s.Loads, &wire.UpstreamLoad{
+			Upstream: string(id), InFlight: uint32(l.InFlight),
+			WaitingTokens: uint32(max(l.WaitingTokens, 0)), MemoryTokens: uint32(max(l.MemoryTokens, 0)),
+		})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, address := range slices.Sorted(maps.Keys(t.peers)) {
+		if p := t.peers[address]; !p.heard.IsZero() && !p.silent {
+			s.Gateways = append(s.Gateways, address)
+		}
+	}
+	return s
+}
+
+// hear takes what another gateway told.
+func (t *Task) hear(ctx context.Context, s *wire.GatewayState) {
+	if s.Address == t.Self || s.Address == "" {
+		return
+	}
+	now := time.Now()
+	t.mu.Lock()
+	t.init()
+	t.meet(s.Address)
+	p := t.peers[s.Address]
+	news := p.heard.IsZero() || p.silent
+	p.heard, p.silent = now, false
+	for _, address := range s.Gateways {
+		t.meet(address)
+	}
+	t.mu.Unlock()
+	if news {
+		t.Log.Write(event.GatewayHeard, "gateway", s.Address, "data_centre", s.DataCentre, "incarnation", s.Incarnation)
+	}
+	loads := make(map[route.UpstreamID]placement.Load, len(s.Loads))
+	for _, l := range s.Loads {
+		loads[route.UpstreamID(l.Upstream)] = placement.Load{
+			InFlight: int(l.InFlight), WaitingTokens: int(l.WaitingTokens), MemoryTokens: int(l.MemoryTokens),
+		}
+	}
+	t.Desk.Tell(placement.Heard{Gateway: s.Address, Loads: loads})
+	t.Suspects.Heard(now, s.Suspicions)
+	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision))
+}
+
+// Spread tells all gateways at once what is new; the channel is closed at once,
+// as nobody waits for that here.
+func (t *Task) Spread() <-chan struct{} {
+	t.mu.Lock()
+	t.init()
+	t.mu.Unlock()
+	select {
+	case t.now <- struct{}{}:
+	default:
+	}
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// Tell answers another gateway.
+func (t *Task) Tell(ctx context.Context, s *wire.GatewayState) (*wire.GatewayState, error) {
+	t.hear(ctx, s)
+	return t.state(time.Now()), nil
+}
+
+// Fetch answers another gateway that knows less.
+func (t *Task) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.PublishedState, error) {
+	return t.Catalog.State(catalog.Revision(r.NewerThan)), nil
+}
--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,48 @@
+package route
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMatch(t *testing.T) {
+	table := &Table{Routes: []Route{
+		{Name: "short", Host: "maps.example", Prefix: "/a/"},
+		{Name: "long", Host: "Maps.example", Prefix: "/a/b/"},
+		{Name: "other", Host: "crates.example", Prefix: "/a/"},
+	}}
+	table.Index()
+	tests := []struct{ host, path, want string }{
+		{"maps.example", "/a/x", "short"},
+		{"maps.example:80", "/a/b/x", "long"},
+		{"MAPS.example", "/a/bb/x", "short"},
+		{"crates.example", "/a/b/x", "other"},
+		{"maps.example", "/a", ""},
+		{"else.example", "/a/x", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r, ok := table.Match(tt.host, tt.path); ok {
+			got = r.Name
+		}
+		assert.Equal(t, got, tt.want, "%s%s", tt.host, tt.path)
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	counts := map[ServiceName]int{}
+	for n := range uint64(1000) {
+		counts[r.Pick(n)]++
+	}
+	assert.DeepEqual(t, counts, map[ServiceName]int{"a": 900, "b": 100})
+}
+
+func TestPriorityOfAccountGoesFirst(t *testing.T) {
+	r := Route{Priority: 2}
+	rank := Priority(1)
+	assert.Equal(t, r.PriorityOf(&Account{Priority: &rank}), Priority(1))
+	assert.Equal(t, r.PriorityOf(&Account{}), Priority(2))
+	assert.Equal(t, r.PriorityOf(nil), Priority(2))
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Belongs says whether an answer is that of this request; nil for yes. An
+	// answer to an earlier request may come late and is passed over.
+	Belongs func(*http.Response) bool
+}
+
+// Exchange is a request that was sent, and its answer.
+type Exchange struct {
+	// Response is nil if there is Err. Reading its body to the end without an
+	// error means that the answer is whole.
+	Response *http.Response
+	Err      error
+	// Sent says that bytes of the request may have reached the upstream.
+	Sent bool
+	// Reused says that the connection had been used before.
+	Reused bool
+
+	pool    *Pool
+	conn    *conn
+	stop    func() bool
+	written chan error
+	ended   bool
+}
+
+// errForeign is given when only answers to other requests came.
+var errForeign = errors.New("the answer belongs to another request")
+
+// maxForeign is the most late answers that are passed over on a connection.
+const maxForeign = 2
+
+// Exchange sends a request and waits for the head of its answer. Once ctx ends,
+// the connection is closed, which tells the upstream to stop. The caller closes
+// the exchange.
+func (p *Pool) Exchange(ctx context.Context, r *Request) *Exchange {
+	x := &Exchange{pool: p}
+	c, err := p.take(ctx)
+	if err != nil {
+		x.Err = err
+		return x
+	}
+	x.conn, x.Reused = c, c.used
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.send(r)
+	for range maxForeign + 1 {
+		if x.Response, x.Err = readHead(c, r.Method); x.Err != nil {
+			return x
+		}
+		if r.Belongs == nil || r.Belongs(x.Response) {
+			x.Response.Body = &body{ReadCloser: x.Response.Body, x: x}
+			return x
+		}
+		if _, x.Err = io.Copy(io.Discard, x.Response.Body); x.Err != nil {
+			break
+		}
+	}
+	x.Response = nil
+	x.Err = errors.Join(errForeign, x.Err)
+	return x
+}
+
+// send writes the request beside the reading of its answer, which may come
+// before a long body has been read.
+func (x *Exchange) send(r *Request) {
+	x.Sent = true
+	x.written = make(chan error, 1)
+	data := r.bytes()
+	if len(data) <= readBuffer {
+		_, err := x.conn.Write(data)
+		x.written <- err
+		return
+	}
+	go func() {
+		_, err := x.conn.Write(data)
+		x.written <- err
+	}()
+}
+
+func (r *Request) bytes() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	_ = r.Header.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+func readHead(c *conn, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// body notes whether the answer ended whole.
+type body struct {
+	io.ReadCloser
+	x *Exchange
+}
+
+// Read reads on.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.x.ended = true
+	}
+	return n, err
+}
+
+// Close gives the connection back if the answer ended whole and it can carry
+// another request; else it closes it.
+func (x *Exchange) Close() {
+	if x.conn == nil {
+		return
+	}
+	cancelled := !x.stop()
+	switch {
+	case cancelled:
+		_ = x.conn.Close()
+	case x.Err != nil || !x.ended:
+		x.pool.fail(x.conn)
+	case x.Response.Close || x.conn.reader.Buffered() > 0 || !x.wrote():
+		_ = x.conn.Close()
+	default:
+		x.pool.keep(x.conn, idleTime(x.Response.Header))
+	}
+	x.conn = nil
+}
+
+// Cancel closes the connection at once, so that the upstream stops its work.
+func (x *Exchange) Cancel() {
+	if x.conn == nil {
+		return
+	}
+	x.stop()
+	_ = x.conn.Close()
+	x.conn = nil
+}
+
+// wrote says that the whole request has been written.
+func (x *Exchange) wrote() bool {
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// idleTime gives how long the connection may be kept idle.
+func idleTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return idleDefault
+}
--- /dev/null
+++ b/internal/upstream/exchange_test.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// serve answers the connections of a listener, each with its script: the n-th
+// request on a connection gets the n-th text. It counts connections.
+func serve(t *testing.T, scripts ...[]string) (address string, closed chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	closed = make(chan struct{}, len(scripts))
+	go func() {
+		for _, script := range scripts {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { closed <- struct{}{} }()
+				defer c.Close()
+				answer(c, script)
+			}()
+		}
+	}()
+	return l.Addr().String(), closed
+}
+
+func answer(c net.Conn, script []string) {
+	b := bufio.NewReader(c)
+	for _, text := range script {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 1\r\n\r\nok"
+
+func post(ctx context.Context, p *Pool) *Exchange {
+	return p.Exchange(ctx, &Request{
+		Method: "POST", Target: "/a/b?c=d", Host: "maps.example", Body: []byte("x"),
+		Belongs: func(r *http.Response) bool { return r.Header.Get("X-Id") == "1" },
+	})
+}
+
+func TestExchange(t *testing.T) {
+	late := strings.Replace(whole, "X-Id: 1", "X-Id: 0", 1)
+	tests := []struct {
+		name string
+		// script is sent on the first connection.
+		script   []string
+		wantErr  bool
+		wantBody string
+	}{
+		{"whole", []string{whole}, false, "ok"},
+		{"late answer of another first", []string{late + whole}, false, "ok"},
+		{"cut in the head", []string{"HTTP/1.1 200"}, true, ""},
+		{"no answer", []string{""}, true, ""},
+		{"no protocol", []string{"ERR broken\r\n\r\n"}, true, ""},
+		{"cut in the body", []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Id: 1\r\n\r\nok"}, true, "ok"},
+		{"cut in chunks", []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2\r\nok\r\n"}, true, "ok"},
+		{"no length", []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok"}, false, "ok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, _ := serve(t, tt.script)
+			p := &Pool{Address: address}
+			defer p.Close()
+			x := post(t.Context(), p)
+			defer x.Close()
+			assert.Assert(t, x.Sent)
+			err := x.Err
+			got := ""
+			if err == nil {
+				var b []byte
+				b, err = io.ReadAll(x.Response.Body)
+				got = string(b)
+			}
+			assert.Equal(t, err != nil, tt.wantErr, "%v", err)
+			assert.Equal(t, got, tt.wantBody)
+		})
+	}
+}
+
+// exchangeWhole sends a request and reads its answer to the end.
+func exchangeWhole(t *testing.T, p *Pool) *Exchange {
+	t.Helper()
+	x := post(t.Context(), p)
+	assert.NilError(t, x.Err)
+	_, err := io.ReadAll(x.Response.Body)
+	assert.NilError(t, err)
+	x.Close()
+	return x
+}
+
+func TestKeptConnection(t *testing.T) {
+	address, _ := serve(t, []string{whole, whole})
+	opened := 0
+	p := &Pool{Address: address, Opened: func() { opened++ }}
+	defer p.Close()
+	exchangeWhole(t, p)
+	assert.Assert(t, exchangeWhole(t, p).Reused)
+	assert.Equal(t, opened, 1)
+}
+
+// A connection with bytes of no request on it is not used again.
+func TestExtraAnswerIsNotKept(t *testing.T) {
+	address, _ := serve(t, []string{whole + whole}, []string{whole})
+	p := &Pool{Address: address}
+	defer p.Close()
+	exchangeWhole(t, p)
+	assert.Assert(t, !exchangeWhole(t, p).Reused)
+}
+
+// A connection that the upstream closed while idle carries no request, which
+// could not be told from one that ran.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address, closed := serve(t, []string{whole}, []string{whole})
+	p := &Pool{Address: address}
+	defer p.Close()
+	exchangeWhole(t, p)
+	<-closed
+	assert.Assert(t, !exchangeWhole(t, p).Reused)
+}
+
+func TestUnreachedIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	_ = l.Close()
+	p := &Pool{Address: l.Addr().String()}
+	x := post(t.Context(), p)
+	assert.Assert(t, x.Err != nil && !x.Sent)
+}
+
+// The upstream sees the connection close once the caller has left.
+func TestCancelClosesConnection(t *testing.T) {
+	far, near := net.Pipe()
+	p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		_, _ = http.ReadRequest(bufio.NewReader(far))
+		cancel()
+	}()
+	x := post(ctx, p)
+	defer x.Close()
+	assert.Assert(t, x.Err != nil && x.Sent)
+	_ = far.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := io.Copy(io.Discard, far)
+	assert.NilError(t, err)
+}
+
+func TestIdleTime(t *testing.T) {
+	tests := []struct {
+		header string
+		want   time.Duration
+	}{
+		{"", idleDefault},
+		{"timeout=5", 4500 * time.Millisecond},
+		{"max=3, timeout=1", 500 * time.Millisecond},
+		{"timeout=x", idleDefault},
+		{"timeout=0", -idleMargin},
+	}
+	for _, tt := range tests {
+		h := http.Header{}
+		h.Set("Keep-Alive", tt.header)
+		assert.Equal(t, idleTime(h), tt.want, tt.header)
+	}
+}
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -103,11 +103,12 @@
 	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-// Server serves Work and Peer; either may be nil.
+// Server serves Work, Peer and Gateways; any may be nil.
 type Server struct {
-	Secret Secret
-	Work   DRPCWorkServer
-	Peer   DRPCPeerServer
+	Secret   Secret
+	Work     DRPCWorkServer
+	Peer     DRPCPeerServer
+	Gateways DRPCGatewaysServer
 	// Refused is told of a connection without the secret; it may be nil.
 	Refused func(remote string, err error)
 }
@@ -125,6 +126,11 @@
 			return fmt.Errorf("register peer: %w", err)
 		}
 	}
+	if s.Gateways != nil {
+		if err := DRPCRegisterGateways(m, s.Gateways); err != nil {
+			return fmt.Errorf("register gateways: %w", err)
+		}
+	}
 	server := drpcserver.NewWithOptions(m, drpcserver.Options{Manager: managerOptions()})
 	return server.Serve(ctx, &guardedListener{Listener: l, want: s.Secret.preamble(), refused: s.Refused})
 }
