Place prompts by one order for all data centres; refuse new requests late in a stop

Change: first and second choice of a prompt are the same at all gateways; a stopping gateway refuses new requests 2.5 s after the signal, as not run.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -40,6 +40,9 @@
 	Log       *event.Log
 
 	draining atomic.Bool
+	// closing says that new requests are refused: the balancer sends none any
+	// more, and the time to stop would not do for their answers.
+	closing  atomic.Bool
 	inFlight atomic.Int64
 	metrics  metricSet
 
@@ -66,6 +69,9 @@
 // Drain makes readiness fail and asks callers to close their connections.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// RefuseNew makes the gateway refuse requests that come from now on.
+func (g *Gateway) RefuseNew() { g.closing.Store(true) }
+
 // InFlight gives the number of requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -28,6 +28,9 @@
 	writeSlack = 2 * time.Second
 	// notReadyReturn is when callers may come back to a gateway without a table.
 	notReadyReturn = 300 * time.Millisecond
+	// stoppingReturn is when callers may come back whom a stopping gateway
+	// refuses: at once, on a connection to another gateway.
+	stoppingReturn = 10 * time.Millisecond
 	// outputBytes is the size of an answer's token on the way, and outputGuess
 	// the tokens expected of an answer that says nothing.
 	outputBytes = 16
@@ -101,6 +104,11 @@
 		return err
 	}
 	t.call = c
+	if t.gateway.closing.Load() {
+		e := result.Errorf(result.Stopping, "this gateway stops")
+		e.RetryAfter = stoppingReturn
+		return e
+	}
 	v := t.gateway.Catalog.View()
 	if v.Table == nil {
 		e := result.Errorf(result.NotReady, "no table yet")
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -19,15 +19,17 @@
 	readRate = 50_000.0
 	// plainTime is the usual time of a plain upstream's answer.
 	plainTime = 30 * time.Millisecond
-	// farCost is what a kilobyte between data centres is worth in waiting time:
-	// such bytes are charged, a few hundredths of a request's worth each ten.
-	farCost = 15 * time.Millisecond
+	// farCost is what a kilobyte between data centres is worth in waiting time,
+	// and againCost what a thousand prompt tokens are worth that an engine reads
+	// though another holds them. Both are charged: the tokens some ten to seventy
+	// times as much as the kilobyte.
+	farCost   = 3 * time.Millisecond
+	againCost = 50 * time.Millisecond
 	// failCost is what a sure failure costs, in objectives.
 	failCost = 3.0
-	// strangerCost is the part of the reading time of shared parts that is added
-	// at an engine which is not the first choice for them, so that gateways with
-	// no word of each other choose the same one.
-	strangerCost = 0.5
+	// secondCost is the part of againCost that counts at the second choice for a
+	// prompt, where all gateways go first when the first choice is busy.
+	secondCost = 0.8
 	// memoryShare is the part of an engine's memory that running requests may
 	// take in the estimate.
 	memoryShare = 0.9
@@ -39,14 +41,14 @@
 	if r.Deadline.Sub(now) < leastLeft {
 		return nil, 0
 	}
-	preferred := c.preferred(r)
+	first, second := c.preferred(r)
 	var best *member
 	var least, expected time.Duration
 	for _, m := range c.members {
 		if !c.usable(now, m, r) {
 			continue
 		}
-		wait, cost := c.cost(now, m, r, preferred)
+		wait, cost := c.cost(now, m, r, first, second)
 		if best == nil || cost < least || cost == least && m.upstream.ID < best.upstream.ID {
 			best, least, expected = m, cost, wait
 		}
@@ -98,7 +100,7 @@
 
 // cost gives the time in which the answer is expected to begin, and what the
 // choice costs in all, as a time.
-func (c *Core) cost(now time.Time, m *member, r *Request, preferred route.UpstreamID) (wait, cost time.Duration) {
+func (c *Core) cost(now time.Time, m *member, r *Request, first, second route.UpstreamID) (wait, cost time.Duration) {
 	others := c.others(now, m.upstream.ID)
 	var again time.Duration
 	if m.service.Engine == nil {
@@ -109,8 +111,11 @@
 	} else {
 		missing := m.cache.missing(r.Prompt)
 		wait = firstTime + reading(missing+m.waitingTokens+others.WaitingTokens)
-		if m.upstream.ID != preferred {
-			again = time.Duration(strangerCost * float64(reading(shared(r.Prompt))))
+		if m.upstream.ID != first {
+			again = againCost * time.Duration(m.cache.missing(r.Prompt[:max(len(r.Prompt)-1, 0)])) / 1000
+		}
+		if m.upstream.ID == second {
+			again = time.Duration(secondCost * float64(again))
 		}
 	}
 	cost = time.Duration(float64(wait)*m.slow) + again + m.overdue(now)
@@ -126,16 +131,6 @@
 	return time.Duration(float64(tokens) / readRate * float64(time.Second))
 }
 
-// shared gives the tokens of the parts that other requests may share: all but
-// the last.
-func shared(prompt []Part) int {
-	tokens := 0
-	for _, p := range prompt[:max(len(prompt)-1, 0)] {
-		tokens += p.Tokens
-	}
-	return tokens
-}
-
 // overdue gives how late the latest answer of the upstream is.
 func (m *member) overdue(now time.Time) time.Duration {
 	var late time.Duration
@@ -147,23 +142,28 @@
 	return late
 }
 
-// preferred gives the engine that is the first choice for a prompt's shared
-// parts: the same for all gateways of a data centre.
-func (c *Core) preferred(r *Request) route.UpstreamID {
+// preferred gives the first and second choice for a prompt's shared parts: the
+// same at all gateways, so that an engine that one of them made read a part has
+// it for the requests of all.
+func (c *Core) preferred(r *Request) (first, second route.UpstreamID) {
 	if len(r.Prompt) == 0 {
-		return ""
+		return "", ""
 	}
 	// The part before the last is the most specific that requests share.
 	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
-	var best route.UpstreamID
-	var most uint64
+	var most, next uint64
 	for _, m := range c.members {
-		if !m.allowed(r.Service) || m.upstream.DataCentre != c.DataCentre {
+		if !m.allowed(r.Service) {
 			continue
 		}
-		if h := xxhash.Sum64String(key + "/" + string(m.upstream.ID)); best == "" || h > most {
-			best, most = m.upstream.ID, h
+		id := m.upstream.ID
+		switch h := xxhash.Sum64String(key + "/" + string(id)); {
+		case first == "" || h > most:
+			second, next = first, most
+			first, most = id, h
+		case second == "" || h > next:
+			second, next = id, h
 		}
 	}
-	return best
+	return first, second
 }
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -30,12 +30,12 @@
 	memoryShare = 0.7
 	// settleTime is how long callers are still taken after readiness failed: the
 	// balancer asks once a second and sends on until it has missed two answers.
-	settleTime = 3 * time.Second
+	settleTime = 2500 * time.Millisecond
 	// quietTime is how long nothing may be in flight before a stopping gateway
 	// closes what is idle.
 	quietTime = 300 * time.Millisecond
 	// stopMargin is left of the time to stop for the end of the program.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 200 * time.Millisecond
 	// directIdleTimeout is longer than callers reuse a connection.
 	directIdleTimeout = time.Minute
 )
@@ -229,6 +229,7 @@
 	settle := time.NewTimer(min(settleTime, p.StopLimit/2))
 	defer settle.Stop()
 	<-settle.C
+	g.RefuseNew()
 	g.Settle(ctx, quietTime)
 }
 
