Keep engines for short prompts, and prompts with the engines that read them

Change: one engine in five of a data centre is for prompts under 4,096 tokens; reading again counts 100 ms a thousand tokens; waits beyond 0.6 of the objective count six times. An upstream that could not be reached is no send.

--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -21,6 +21,9 @@
 	silentFactor = 3
 	// silentLeast is the least such time.
 	silentLeast = 250 * time.Millisecond
+	// maxUnreached is the most upstreams that are tried when none can be reached.
+	// What did not arrive is no repeat.
+	maxUnreached = 4
 	// gapFactor is the same for a pause within a stream, in objectives.
 	gapFactor = 4
 )
@@ -165,7 +168,7 @@
 // unrun ends a send that ran nothing.
 func (o *outgoing) unrun(outcome placement.Outcome, code result.Code) (placement.Outcome, bool, error) {
 	o.note(outcome, "")
-	if o.mayAgain(true) {
+	if outcome == placement.Unreached && len(o.sends) < maxUnreached || o.mayAgain(true) {
 		return outcome, true, nil
 	}
 	if o.mayHaveRun {
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -264,7 +264,7 @@
 	if !notRun && (c.route.Repeat == route.Never || c.route.Repeat == route.Resume && !t.resumable()) {
 		return false
 	}
-	if len(t.sends) >= max(c.route.MaxSends, 1) {
+	if t.arrivals() >= max(c.route.MaxSends, 1) {
 		return false
 	}
 	if t.paid {
@@ -274,5 +274,16 @@
 	return t.gateway.Desk.MayRepeat(c.service)
 }
 
+// arrivals gives the number of upstreams that the request was sent to.
+func (t *transfer) arrivals() int {
+	n := 0
+	for _, s := range t.sends {
+		if s.outcome != placement.Unreached {
+			n++
+		}
+	}
+	return n
+}
+
 // resumable says that a further send can go on where the caller's answer ends.
 func (t *transfer) resumable() bool { return !t.headOut || t.last != "" }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -14,22 +15,39 @@
 	// firstTime is the least time to the first event of an answer of an engine
 	// that has nothing else to do.
 	firstTime = 100 * time.Millisecond
-	// readRate is the prompt tokens that an engine reads in a second until it
-	// shows otherwise.
-	readRate = 50_000.0
+	// readRate is the prompt tokens that an engine reads in a second, and
+	// pairTime the time that it takes for each million pairs of a token and one
+	// before it, until it shows otherwise.
+	readRate = 55_000.0
+	pairTime = 550 * time.Microsecond
 	// plainTime is the usual time of a plain upstream's answer.
 	plainTime = 30 * time.Millisecond
 	// farCost is what a kilobyte between data centres is worth in waiting time,
 	// and againCost what a thousand prompt tokens are worth that an engine reads
 	// though another holds them. Both are charged: the tokens some ten to seventy
 	// times as much as the kilobyte.
-	farCost   = 3 * time.Millisecond
-	againCost = 50 * time.Millisecond
-	// failCost is what a sure failure costs, in objectives.
-	failCost = 3.0
+	farCost   = 5 * time.Millisecond
+	againCost = 100 * time.Millisecond
 	// secondCost is the part of againCost that counts at the second choice for a
 	// prompt, where all gateways go first when the first choice is busy.
 	secondCost = 0.8
+	// lateFrom is the part of its objective from which a wait is likely to miss
+	// it, and lateCost how many times the wait beyond that counts.
+	lateFrom = 0.6
+	lateCost = 6.0
+	// failCost is what a sure failure costs, in objectives.
+	failCost = 3.0
+	// shortPrompt is the most tokens of a prompt that an engine reads in a few
+	// steps, without a pause that the streams beside it would show.
+	shortPrompt = 4096
+	// shortShare is one engine in so many of a data centre that is kept for short
+	// prompts.
+	shortShare = 5
+	// mixedCost is what it costs to send a short prompt to an engine that reads
+	// long ones, and mixingCost the other way round: a long prompt delays all
+	// streams of the engine.
+	mixedCost  = 250 * time.Millisecond
+	mixingCost = 1500 * time.Millisecond
 	// memoryShare is the part of an engine's memory that running requests may
 	// take in the estimate.
 	memoryShare = 0.9
@@ -41,14 +59,14 @@
 	if r.Deadline.Sub(now) < leastLeft {
 		return nil, 0
 	}
-	first, second := c.preferred(r)
+	p := c.prefer(r)
 	var best *member
 	var least, expected time.Duration
 	for _, m := range c.members {
 		if !c.usable(now, m, r) {
 			continue
 		}
-		wait, cost := c.cost(now, m, r, first, second)
+		wait, cost := c.cost(now, m, r, p)
 		if best == nil || cost < least || cost == least && m.upstream.ID < best.upstream.ID {
 			best, least, expected = m, cost, wait
 		}
@@ -100,25 +118,20 @@
 
 // cost gives the time in which the answer is expected to begin, and what the
 // choice costs in all, as a time.
-func (c *Core) cost(now time.Time, m *member, r *Request, first, second route.UpstreamID) (wait, cost time.Duration) {
+func (c *Core) cost(now time.Time, m *member, r *Request, p preference) (wait, cost time.Duration) {
 	others := c.others(now, m.upstream.ID)
-	var again time.Duration
 	if m.service.Engine == nil {
 		rounds := (m.inFlight + others.InFlight) / max(m.upstream.Slots, 1)
 		wait = plainTime * time.Duration(1+rounds)
 		// Among free upstreams, the one with the fewest requests.
-		again = time.Millisecond * time.Duration(m.inFlight+others.InFlight)
+		cost = time.Millisecond * time.Duration(m.inFlight+others.InFlight)
 	} else {
-		missing := m.cache.missing(r.Prompt)
-		wait = firstTime + reading(missing+m.waitingTokens+others.WaitingTokens)
-		if m.upstream.ID != first {
-			again = againCost * time.Duration(m.cache.missing(r.Prompt[:max(len(r.Prompt)-1, 0)])) / 1000
-		}
-		if m.upstream.ID == second {
-			again = time.Duration(secondCost * float64(again))
-		}
+		wait = firstTime + reading(m.cache.missing(r.Prompt), total(r.Prompt)) +
+			reading(m.waitingTokens+others.WaitingTokens, 0)
+		cost = c.engineCost(m, r, p)
 	}
-	cost = time.Duration(float64(wait)*m.slow) + again + m.overdue(now)
+	wait = time.Duration(float64(wait)*m.slow) + m.overdue(now)
+	cost += wait + time.Duration(lateCost*max(float64(wait)-lateFrom*float64(r.Objective), 0))
 	if m.upstream.DataCentre != c.DataCentre {
 		cost += farCost * time.Duration(r.Bytes) / 1024
 	}
@@ -126,9 +139,39 @@
 	return wait, cost
 }
 
-// reading is the time in which an engine reads prompt tokens.
-func reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readRate * float64(time.Second))
+// engineCost gives what others pay for the choice of an engine: parts that are
+// read again, and streams that a long prompt delays.
+func (c *Core) engineCost(m *member, r *Request, p preference) time.Duration {
+	var cost time.Duration
+	if m.upstream.ID != p.first {
+		cost = againCost * time.Duration(m.cache.missing(r.Prompt[:max(len(r.Prompt)-1, 0)])) / 1000
+	}
+	if m.upstream.ID == p.second {
+		cost = time.Duration(secondCost * float64(cost))
+	}
+	switch short := isShort(r); {
+	case short && !p.short[m.upstream.ID]:
+		cost += mixedCost
+	case !short && p.short[m.upstream.ID]:
+		cost += mixingCost
+	}
+	return cost
+}
+
+func isShort(r *Request) bool { return total(r.Prompt) <= shortPrompt }
+
+// reading is the time in which an engine reads prompt tokens that end a context.
+func reading(tokens, context int) time.Duration {
+	pairs := float64(tokens) * max(float64(context)-float64(tokens)/2, 0) / 1e6
+	return time.Duration(float64(tokens)/readRate*float64(time.Second) + pairs*float64(pairTime))
+}
+
+func total(prompt []Part) int {
+	tokens := 0
+	for _, p := range prompt {
+		tokens += p.Tokens
+	}
+	return tokens
 }
 
 // overdue gives how late the latest answer of the upstream is.
@@ -142,28 +185,64 @@
 	return late
 }
 
-// preferred gives the first and second choice for a prompt's shared parts: the
-// same at all gateways, so that an engine that one of them made read a part has
-// it for the requests of all.
-func (c *Core) preferred(r *Request) (first, second route.UpstreamID) {
+// preference is the order of choice for a prompt. It is the same at all
+// gateways, so that an engine that one of them made read a part has it for the
+// requests of all.
+type preference struct {
+	first, second route.UpstreamID
+	// short are the engines that are kept for short prompts.
+	short map[route.UpstreamID]bool
+}
+
+func (c *Core) prefer(r *Request) preference {
+	p := preference{short: c.shortEngines(r.Service)}
 	if len(r.Prompt) == 0 {
-		return "", ""
+		return p
 	}
 	// The part before the last is the most specific that requests share.
 	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
+	short := isShort(r)
 	var most, next uint64
 	for _, m := range c.members {
-		if !m.allowed(r.Service) {
+		id := m.upstream.ID
+		if !m.allowed(r.Service) || p.short[id] != short || short && m.upstream.DataCentre != c.DataCentre {
 			continue
 		}
-		id := m.upstream.ID
 		switch h := xxhash.Sum64String(key + "/" + string(id)); {
-		case first == "" || h > most:
-			second, next = first, most
-			first, most = id, h
-		case second == "" || h > next:
-			second, next = id, h
+		case p.first == "" || h > most:
+			p.second, next = p.first, most
+			p.first, most = id, h
+		case p.second == "" || h > next:
+			p.second, next = id, h
+		}
+	}
+	return p
+}
+
+// shortEngines gives the engines of a service that are kept for short prompts:
+// one in shortShare of each data centre, and one at least of two or more.
+func (c *Core) shortEngines(s route.ServiceName) map[route.UpstreamID]bool {
+	byCentre := make(map[route.DataCentre][]rankedUpstream)
+	for id, m := range c.members {
+		if m.allowed(s) && m.service.Engine != nil {
+			dc := m.upstream.DataCentre
+			byCentre[dc] = append(byCentre[dc], rankedUpstream{xxhash.Sum64String("short/" + string(id)), id})
 		}
 	}
-	return first, second
+	short := make(map[route.UpstreamID]bool)
+	for _, engines := range byCentre {
+		if len(engines) < 2 {
+			continue
+		}
+		slices.SortFunc(engines, func(a, b rankedUpstream) int { return cmp.Compare(a.rank, b.rank) })
+		for _, e := range engines[:max(len(engines)/shortShare, 1)] {
+			short[e.id] = true
+		}
+	}
+	return short
+}
+
+type rankedUpstream struct {
+	rank uint64
+	id   route.UpstreamID
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -84,14 +84,14 @@
 func (x *Exchange) send(r *Request) {
 	x.Sent = true
 	x.written = make(chan error, 1)
-	data := r.bytes()
+	c, data := x.conn, r.bytes()
 	if len(data) <= readBuffer {
-		_, err := x.conn.Write(data)
+		_, err := c.Write(data)
 		x.written <- err
 		return
 	}
 	go func() {
-		_, err := x.conn.Write(data)
+		_, err := c.Write(data)
 		x.written <- err
 	}()
 }
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -183,3 +183,23 @@
 		assert.Equal(t, idleTime(h), tt.want, tt.header)
 	}
 }
+
+// An exchange may be closed before its request has been written: the upstream
+// answered at once and reads no further.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	far, near := net.Pipe()
+	defer far.Close()
+	p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+	go func() {
+		_, _ = far.Read(make([]byte, 16))
+		_, _ = io.WriteString(far, whole)
+	}()
+	x := p.Exchange(t.Context(), &Request{Method: "POST", Target: "/a", Body: make([]byte, 64<<10)})
+	assert.NilError(t, x.Err)
+	_, err := io.ReadAll(x.Response.Body)
+	assert.NilError(t, err)
+	written := x.written
+	x.Close()
+	assert.Assert(t, <-written != nil, "the connection is not closed")
+	assert.Equal(t, len(p.idle), 0, "a connection with an unfinished request is kept")
+}
