Let a prompt wait long before another engine reads its parts again

Ruled out: memory of the engines (141,000 tokens of parts each, room 505,611) and their rate (own tokens and first reads alone are 37 % in the burst). Change: againCost 100 ms a thousand tokens to 1,500 ms, second choice 0.6.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -22,15 +22,18 @@
 	pairTime = 550 * time.Microsecond
 	// plainTime is the usual time of a plain upstream's answer.
 	plainTime = 30 * time.Millisecond
-	// farCost is what a kilobyte between data centres is worth in waiting time,
-	// and againCost what a thousand prompt tokens are worth that an engine reads
-	// though another holds them. Both are charged: the tokens some ten to seventy
-	// times as much as the kilobyte.
+	// farCost is what a kilobyte between data centres is worth in waiting time.
+	// Such bytes are charged.
+	//
+	// againCost is what a thousand prompt tokens are worth that an engine reads
+	// though another holds them. They are charged too, and at high load an engine
+	// that reads again what it could have had delays all its streams, so that
+	// more requests leave for others: the load then feeds itself.
 	farCost   = 5 * time.Millisecond
-	againCost = 100 * time.Millisecond
+	againCost = 1500 * time.Millisecond
 	// secondCost is the part of againCost that counts at the second choice for a
 	// prompt, where all gateways go first when the first choice is busy.
-	secondCost = 0.8
+	secondCost = 0.6
 	// lateFrom is the part of its objective from which a wait is likely to miss
 	// it, and lateCost how many times the wait beyond that counts.
 	lateFrom = 0.6
