--- a/cmd/jasminewing/direct.go
+++ b/cmd/jasminewing/direct.go
@@ -14,6 +14,7 @@
 
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/process"
 	"jasminewing.dev/jasminewing/internal/wire"
 	"jasminewing.dev/jasminewing/platform"
@@ -68,6 +69,13 @@
 		Memory: s.MemoryBytes, StopLimit: s.StopLimit, Repeats: s.Repeats,
 		Store: &platform.Store{Address: s.StoreAddress, Client: storeClient()}, Decode: platform.Decode,
 		Callers: platform.Callers{}, Upstreams: platform.Upstreams{},
+		Reread: func() (placement.RepeatBounds, error) {
+			now, err := platform.ReadSettings(c.SettingsFile)
+			if err != nil {
+				return placement.RepeatBounds{}, err
+			}
+			return now.Repeats, nil
+		},
 		Log: &event.Log{Logger: log.NewWithOptions(writer, log.Options{
 			ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
 			TimeFunction: func(t time.Time) time.Time { return t.UTC() },
--- /dev/null
+++ b/internal/placement/core_test.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/pkg/result"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// engines gives a view of engines in data centres a, b and c in turn.
+func engines(n int) *route.View {
+	table := &route.Table{Services: []route.Service{
+		{Name: "drafting", ColdStart: 3 * time.Second, ColdRate: 6, Engine: &route.Engine{Batch: 64, MemoryTokens: 500_000}},
+		{Name: "desk"},
+	}}
+	table.Index()
+	v := &route.View{Table: table, Out: map[route.DataCentre]bool{}}
+	for i := range n {
+		v.Upstreams = append(v.Upstreams, route.Upstream{
+			ID: route.UpstreamID(fmt.Sprintf("e%02d", i)), Service: "drafting", Address: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: route.DataCentre("abc"[i%3 : i%3+1]), Slots: 64,
+		})
+	}
+	return v
+}
+
+func newCore(v *route.View, gateways int) *Core {
+	c := &Core{DataCentre: "a"}
+	c.Handle(start, Published{v})
+	c.Handle(start, Gateways{gateways})
+	return c
+}
+
+// draft is a request with a long shared part.
+func draft(thing PartID, own PartID) Request {
+	return Request{
+		Service: "drafting", Objective: 2500 * time.Millisecond, Arrived: start, Deadline: start.Add(10 * time.Second),
+		Prompt: []Part{{thing, 13_300}, {1_000_000 + own, 3_700}}, OutputTokens: 120, Bytes: 19_000,
+	}
+}
+
+// question is a request with a short prompt.
+func question(own PartID) Request {
+	return Request{
+		Service: "drafting", Objective: 500 * time.Millisecond, Arrived: start, Deadline: start.Add(12 * time.Second),
+		Prompt: []Part{{7, 350}, {2_000_000 + own, 1_110}}, OutputTokens: 170, Bytes: 4_000,
+	}
+}
+
+// ask gives the upstream that a request is granted; empty if it waits.
+func ask(t *testing.T, c *Core, now time.Time, ticket Ticket, r Request) route.UpstreamID {
+	t.Helper()
+	for _, e := range c.Handle(now, Ask{ticket, r}) {
+		if g, ok := e.(Grant); ok && g.Ticket == ticket {
+			return g.Upstream.ID
+		}
+	}
+	return ""
+}
+
+// Gateways that know nothing of each other send a prompt's parts to the same
+// engine, so that only one reads them.
+func TestGatewaysAgreeOnAnEngine(t *testing.T) {
+	one, other := newCore(engines(12), 5), newCore(engines(12), 5)
+	other.DataCentre = "b"
+	used := map[route.UpstreamID]bool{}
+	for n := range PartID(100) {
+		now := start.Add(time.Duration(n) * time.Second)
+		r := draft(n, n)
+		r.Deadline = now.Add(10 * time.Second)
+		got := ask(t, one, now, Ticket(n), r)
+		assert.Equal(t, got, ask(t, other, now, Ticket(n), r))
+		one.Handle(now, Done{Ticket(n), Served})
+		other.Handle(now, Done{Ticket(n), Served})
+		used[got] = true
+	}
+	assert.Equal(t, len(used), 9, "prompts are not spread over the engines for long ones")
+}
+
+// A burst of one thing's drafts stays where its parts are until the wait there
+// costs more than reading them anew, and then leaves.
+func TestBurstOfOneThingSpreadsLate(t *testing.T) {
+	c := newCore(engines(12), 5)
+	var places []route.UpstreamID
+	for n := range Ticket(60) {
+		places = append(places, ask(t, c, start, n, draft(1, PartID(n))))
+	}
+	for n := range 8 {
+		assert.Equal(t, places[n], places[0], "left for a second engine at request %d", n)
+	}
+	assert.Assert(t, places[59] != places[0], "a queue of 60 drafts is kept at one engine")
+}
+
+// Short questions and long drafts meet at no engine while there is room.
+func TestShortPromptsHaveTheirEngines(t *testing.T) {
+	c := newCore(engines(12), 5)
+	short, long := map[route.UpstreamID]bool{}, map[route.UpstreamID]bool{}
+	for n := range Ticket(40) {
+		long[ask(t, c, start, 2*n, draft(PartID(n), PartID(n)))] = true
+		short[ask(t, c, start, 2*n+1, question(PartID(n)))] = true
+	}
+	for id := range short {
+		assert.Assert(t, !long[id], "%s got both", id)
+	}
+	assert.Assert(t, len(short) >= 1 && len(long) >= 6, "%d short, %d long", len(short), len(long))
+}
+
+func TestUnusableUpstreams(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*route.View)
+	}{
+		{"leaving", func(v *route.View) { v.Upstreams[0].Leaving = true }},
+		{"data centre out", func(v *route.View) { v.Out["a"] = true }},
+		{"of another service", func(v *route.View) { v.Upstreams[0].Service = "desk" }},
+		{"removed", func(v *route.View) { v.Upstreams = nil }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore(engines(1), 5)
+			assert.Equal(t, ask(t, c, start, 1, question(1)), route.UpstreamID("e00"))
+			changed := engines(1)
+			tt.change(changed)
+			c.Handle(start, Published{changed})
+			assert.Equal(t, ask(t, c, start, 2, question(2)), route.UpstreamID(""))
+		})
+	}
+}
+
+// All gateways together send a cold engine no more than it bears.
+func TestColdRateIsShared(t *testing.T) {
+	const gateways = 5
+	cold := engines(1)
+	cold.Upstreams[0].ColdFor = 3 * time.Second
+	total := 0
+	for range gateways {
+		c := newCore(cold, gateways)
+		for ms := range 1000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			r := question(PartID(ms))
+			r.Deadline = now.Add(time.Second)
+			if ask(t, c, now, Ticket(ms), r) != "" {
+				c.Handle(now, Done{Ticket(ms), Served})
+				total++
+			}
+		}
+	}
+	// 6 a second and one at once from each gateway that just began.
+	assert.Assert(t, total >= gateways && total <= 6+gateways, "%d requests in a second", total)
+}
+
+// An engine that comes back under its id, cold, is cold.
+func TestEngineThatStartedAgainIsCold(t *testing.T) {
+	c := newCore(engines(1), 5)
+	again := engines(1)
+	again.Upstreams[0].Born, again.Upstreams[0].ColdFor = 5, 3*time.Second
+	c.Handle(start, Published{again})
+	assert.Equal(t, ask(t, c, start, 1, question(1)), route.UpstreamID("e00"))
+	assert.Equal(t, ask(t, c, start, 2, question(2)), route.UpstreamID(""))
+}
+
+// The most urgent goes first when room is made, whoever came first.
+func TestUrgentGoesFirst(t *testing.T) {
+	v := engines(1)
+	v.Table.Services[0].Engine.Batch = 1
+	c := newCore(v, 5)
+	late, urgent := question(2), question(3)
+	late.Priority = 2
+	assert.Equal(t, ask(t, c, start, 1, question(1)), route.UpstreamID("e00"))
+	assert.Equal(t, ask(t, c, start, 2, late), route.UpstreamID(""))
+	assert.Equal(t, ask(t, c, start, 3, urgent), route.UpstreamID(""))
+	got := c.Handle(start, Done{1, Served})
+	assert.Equal(t, got[0].(Grant).Ticket, Ticket(3))
+}
+
+// One that waits in vain is refused in time to come back.
+func TestRefusalInTime(t *testing.T) {
+	c := newCore(engines(0), 5)
+	assert.Equal(t, ask(t, c, start, 1, question(1)), route.UpstreamID(""))
+	now := start.Add(300 * time.Millisecond)
+	got := c.Handle(now, Ticked{})
+	assert.Equal(t, len(got), 1)
+	refusal := got[0].(Refuse)
+	assert.Equal(t, refusal.Code, result.NoUpstream)
+	assert.Assert(t, refusal.RetryAfter > 0 && refusal.RetryAfter <= question(1).Deadline.Sub(now)/3, "%s", refusal.RetryAfter)
+}
+
+// An upstream whose answer is overdue gets nothing while others have room.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	c := newCore(engines(12), 5)
+	hung := ask(t, c, start, 1, question(1))
+	now := start.Add(2 * time.Second)
+	next := question(2)
+	next.Deadline = now.Add(12 * time.Second)
+	assert.Assert(t, ask(t, c, now, 2, next) != hung)
+}
+
+// One broken answer may be chance; a row of them is the upstream's fault.
+func TestBrokenUpstreamIsAvoided(t *testing.T) {
+	c := newCore(engines(1), 5)
+	for n := range Ticket(3) {
+		if id := ask(t, c, start, n, question(PartID(n))); n < 2 {
+			assert.Equal(t, id, route.UpstreamID("e00"))
+		} else {
+			assert.Equal(t, id, route.UpstreamID(""))
+		}
+		c.Handle(start, Done{n, Broken})
+	}
+}
+
+func TestBudgetIsShared(t *testing.T) {
+	const gateways = 5
+	bounds := RepeatBounds{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+	repeats, requests := 0, 0
+	for range gateways {
+		b := Budget{Bounds: bounds}
+		for ms := range 10_000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms%50 == 0 {
+				b.Count(now, "drafting")
+				requests++
+			}
+			if b.Spend(now, "drafting", gateways+gatewaysMargin) {
+				repeats++
+			}
+		}
+	}
+	most := bounds.Ratio*float64(requests) + bounds.Extra
+	assert.Assert(t, float64(repeats) <= most && float64(repeats) >= most/2, "%d repeats, %g allowed", repeats, most)
+}
+
+// The window slides: after a quiet window the extra is there again.
+func TestBudgetWindowSlides(t *testing.T) {
+	b := Budget{Bounds: RepeatBounds{Ratio: 0.2, Extra: 4, Window: 10 * time.Second}}
+	spend := func(now time.Time) (n int) {
+		for b.Spend(now, "drafting", 1) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spend(start), 3)
+	assert.Equal(t, spend(start.Add(9*time.Second)), 0)
+	assert.Equal(t, spend(start.Add(11*time.Second)), 3)
+}
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -132,6 +132,19 @@
 	return d.Budget.Spend(time.Now(), s, d.Core.divisor())
 }
 
+// SetBounds changes the bounds of repeats; it says whether they differ.
+func (d *Desk) SetBounds(b RepeatBounds) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Budget.Bounds == b {
+		return false
+	}
+	d.Budget.Bounds = b
+	// What was counted in steps of another window says nothing in this one.
+	d.Budget.services = nil
+	return true
+}
+
 // Loads gives what is in flight here, for other gateways.
 func (d *Desk) Loads() map[route.UpstreamID]Load {
 	d.mu.Lock()
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -6,7 +6,10 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,6 +41,8 @@
 	stopMargin = 200 * time.Millisecond
 	// directIdleTimeout is longer than callers reuse a connection.
 	directIdleTimeout = time.Minute
+	// rereadInterval is how often the settings file is looked at.
+	rereadInterval = 10 * time.Second
 )
 
 // Direct is the program of a gateway that sends to upstreams directly. Its
@@ -62,13 +67,22 @@
 	Callers   direct.CallerProtocol
 	Upstreams direct.UpstreamProtocol
 
+	// Reread gives the bounds of repeats from the settings as they are now; the
+	// other settings hold for the life of the process.
+	Reread func() (placement.RepeatBounds, error)
+
 	Log    *event.Log
 	Writer *event.Writer
 	Stdout io.Writer
+
+	hup chan os.Signal
 }
 
 // App assembles the program.
 func (p *Direct) App() *fx.App {
+	// A SIGHUP that comes while the program starts must not end it.
+	p.hup = make(chan os.Signal, 1)
+	signal.Notify(p.hup, syscall.SIGHUP)
 	debug.SetMemoryLimit(int64(memoryShare * float64(p.Memory)))
 	return fx.New(
 		options(0),
@@ -166,6 +180,7 @@
 		gr.run(c.Run)
 		gr.run(t.Run)
 		gr.run(p.watchLog)
+		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, k) })
 		gr.run(func(ctx context.Context) error { return server.Serve(ctx, l.peers) })
 	}))
 	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
@@ -220,6 +235,33 @@
 	}
 }
 
+// watchSettings rereads the settings on SIGHUP, and now and then, as they may
+// change without one. Bad settings change nothing.
+func (p *Direct) watchSettings(ctx context.Context, k *placement.Desk) error {
+	defer signal.Stop(p.hup)
+	t := time.NewTicker(rereadInterval)
+	defer t.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.hup:
+			asked = true
+		case <-t.C:
+		}
+		bounds, err := p.Reread()
+		if err != nil {
+			p.Log.WriteThrottled(event.SettingRefused, "settings", "code", int(result.CodeOf(err)), "error", err)
+			continue
+		}
+		if k.SetBounds(bounds) || asked {
+			p.Log.Write(event.SettingsReread, "repeat_ratio", bounds.Ratio, "repeat_extra", bounds.Extra,
+				"repeat_window", bounds.Window)
+		}
+	}
+}
+
 // drain makes readiness fail, serves what still comes, and waits until all has
 // ended or the time to stop is up.
 func (p *Direct) drain(g *direct.Gateway) {
