Ask the store again within two seconds when a watch goes silent

Ruled out: the exchange between gateways, which takes over news in 0.6 s, but all watches were silent. Change: a watch waits 1 s, its answer 0.5 s more. A store that drops its history again and again is asked with a pause: the test for it span without one. Test: TestChangeIsInForceInTime, red at a wait of 5 s.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -14,10 +14,13 @@
 
 const (
 	// watchWait is how long the store may keep a watch waiting. Each watch is
-	// charged; other gateways tell of changes that a dead watch misses.
-	watchWait = 5 * time.Second
+	// charged, but a watch that has gone silent shows only when its time is up,
+	// and changes must be in force within two seconds.
+	watchWait = time.Second
 	// answerTimeout bounds the store's answer beyond the time it may wait.
-	answerTimeout = time.Second
+	answerTimeout = 500 * time.Millisecond
+	// loadTimeout bounds the reading of everything, page by page.
+	loadTimeout = 2 * time.Second
 	// retryFirst and retryMost are the pauses after calls that failed.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -117,7 +120,9 @@
 	changes, now, err := t.Store.Watch(watching, at, watchWait)
 	switch {
 	case errors.Is(err, ErrCompacted):
-		t.Log.Write(event.HistoryDropped, "revision", uint64(at))
+		t.Log.WriteThrottled(event.HistoryDropped, "store", "revision", uint64(at))
+		// A store that drops all history at once must not be asked without a pause.
+		sleep(ctx, retryFirst)
 		return t.load(ctx)
 	case err != nil && t.wasAborted():
 		// The next watch, on a connection of its own, tells whether the store answers.
@@ -140,7 +145,7 @@
 
 // load reads everything.
 func (t *Task) load(ctx context.Context) error {
-	reading, cancel := context.WithTimeout(ctx, 2*answerTimeout)
+	reading, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	entries, at, err := t.Store.Range(reading)
 	if err != nil {
--- /dev/null
+++ b/internal/catalog/task_test.go
@@ -0,0 +1,157 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// applyBound is the time within which a change must be in force.
+const applyBound = 2 * time.Second
+
+// fakeStore holds entries; its faults are set by tests.
+type fakeStore struct {
+	mu      sync.Mutex
+	entries []Entry
+	at      Revision
+	down    error
+	// silent makes watches wait in vain until their context ends.
+	silent bool
+	// dropped makes watches from before this revision fail.
+	dropped Revision
+	calls   int
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.set(func() {
+		s.at++
+		s.entries = append(s.entries, entry(key, value, s.at))
+	})
+}
+
+func (s *fakeStore) Range(context.Context) ([]Entry, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return append([]Entry(nil), s.entries...), s.at, s.down
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Entry, Revision, error) {
+	s.set(func() { s.calls++ })
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		var news []Entry
+		for _, e := range s.entries {
+			if e.Revision > after {
+				news = append(news, e)
+			}
+		}
+		at, down, silent, dropped := s.at, s.down, s.silent, after < s.dropped
+		s.mu.Unlock()
+		switch {
+		case down != nil:
+			return nil, 0, down
+		case silent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case dropped:
+			return nil, 0, ErrCompacted
+		case len(news) > 0 || !time.Now().Before(end):
+			return news, at, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// run starts a task with the store in fake time.
+func run(t *testing.T, test func(t *testing.T, s *fakeStore, task *Task)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		s.put("table", "1")
+		s.put("up/a", "")
+		task := &Task{Store: s, Decode: decode}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- task.Run(ctx) }()
+		time.Sleep(time.Second)
+		assert.Equal(t, text(task.View()), "a v1")
+		test(t, s, task)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+// A change is in force within its bound, whatever became of the watch.
+func TestChangeIsInForceInTime(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(s *fakeStore)
+	}{
+		{"no fault", func(*fakeStore) {}},
+		{"watch goes silent", func(s *fakeStore) { s.silent = true }},
+		{"history dropped", func(s *fakeStore) { s.dropped = 1000 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(t *testing.T, s *fakeStore, task *Task) {
+				s.set(func() { tt.fault(s) })
+				// The watch that is waiting meets the fault first.
+				time.Sleep(time.Second)
+				s.put("table", "2")
+				s.put("up/b", "")
+				s.set(func() { s.silent = false })
+				time.Sleep(applyBound)
+				assert.Equal(t, text(task.View()), "ab v2")
+			})
+		})
+	}
+}
+
+// While the store is down, what is known holds; the calls are few.
+func TestStoreDown(t *testing.T) {
+	run(t, func(t *testing.T, s *fakeStore, task *Task) {
+		s.set(func() { s.down, s.calls = errors.New("busy"), 0 })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, text(task.View()), "a v1")
+		s.set(func() { assert.Assert(t, s.calls <= 40, "%d calls", s.calls) })
+		s.put("table", "2")
+		s.set(func() { s.down = nil })
+		time.Sleep(applyBound)
+		assert.Equal(t, text(task.View()), "a v2")
+	})
+}
+
+// A gateway that the store turns away learns from another what is new.
+func TestLearnsFromAnotherGateway(t *testing.T) {
+	run(t, func(t *testing.T, s *fakeStore, task *Task) {
+		other := &Core{Decode: decode}
+		other.Load(time.Now(), []Entry{entry("table", "5", 9)}, 9, true)
+		s.set(func() { s.down = errors.New("busy") })
+		task.Fetch = func(context.Context, string, Revision) (*wire.PublishedState, error) {
+			return &wire.PublishedState{Revision: 9, Settled: true, Entries: []*wire.PublishedEntry{
+				{Key: "table", Value: []byte("5"), Revision: 9},
+			}}, nil
+		}
+		for range 3 {
+			task.Heard(t.Context(), "10.1.0.2:1", 9)
+			time.Sleep(400 * time.Millisecond)
+		}
+		assert.Equal(t, text(task.View()), " v5")
+		assert.Equal(t, task.Revision(), Revision(9))
+	})
+}
