Write the last lines of a program, and test that logging never blocks

Cause: the lines stopped (104) and stop_forced of a direct gateway were lost: they are written when the task that writes lines has ended. Change: once that task has ended, lines go straight to the output. Test: TestWriterAfterItsEnd, red before.

--- a/internal/event/writer.go
+++ b/internal/event/writer.go
@@ -15,6 +15,9 @@
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	// direct is the output itself once Run has ended, for the last lines of a
+	// program.
+	direct atomic.Pointer[io.Writer]
 }
 
 // NewWriter makes a Writer.
@@ -22,6 +25,9 @@
 
 // Write takes one line.
 func (w *Writer) Write(p []byte) (int, error) {
+	if out := w.direct.Load(); out != nil {
+		return (*out).Write(p)
+	}
 	select {
 	case w.lines <- bytes.Clone(p):
 	default:
@@ -42,6 +48,7 @@
 		case line := <-w.lines:
 			w.gather(&b, line)
 		case <-ctx.Done():
+			w.direct.Store(&out)
 			w.gather(&b, nil)
 			_, err := out.Write(b.Bytes())
 			return err
--- /dev/null
+++ b/internal/event/writer_test.go
@@ -0,0 +1,52 @@
+package event
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.open
+	return b.Buffer.Write(p)
+}
+
+// Write never waits for the output; what it cannot hold is dropped and counted.
+func TestWriterNeverBlocks(t *testing.T) {
+	w := NewWriter()
+	out := &blocked{open: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx, out) }()
+	const lines = 3 * writerRoom
+	for range lines {
+		_, err := w.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, w.Dropped() > 0)
+	close(out.open)
+	cancel()
+	assert.NilError(t, <-done)
+	assert.Equal(t, uint64(strings.Count(out.String(), "\n"))+w.Dropped(), uint64(lines))
+}
+
+// The last line of a program comes after its tasks have ended.
+func TestWriterAfterItsEnd(t *testing.T) {
+	w := NewWriter()
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, w.Run(ctx, &out))
+	_, err := w.Write([]byte("stopped\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), "stopped\n")
+}
