Make three checks of the direct gateway able to fail

Cause: of 21 mutations of the new code four left the tests green: a request that may run once was tested with one send allowed only, an answer of another request had the same body, requests that waited at a cold engine were not counted when they were granted, and no test left a request alone after its first send. Change: these cases are tested; each mutation now turns a test red. No fault of the code was found by it.

--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -99,6 +99,7 @@
 	}
 	for _, r := range []route.Route{
 		{Name: "book", Prefix: "/book/", Repeat: route.Never, MaxSends: 1},
+		{Name: "claim", Prefix: "/claim/", Repeat: route.Never, MaxSends: 2},
 		{Name: "look", Prefix: "/look/", Repeat: route.Anew, MaxSends: 2},
 		{Name: "draft", Prefix: "/draft/", Repeat: route.Never, Streamed: true, MaxSends: 1},
 		{Name: "note", Prefix: "/note/", Repeat: route.Resume, Streamed: true, MaxSends: 2},
@@ -231,7 +232,7 @@
 		sends      int
 	}{
 		{"whole", "/book/1", []string{ok}, "200 ok", 1},
-		{"an answer of another first", "/book/1", []string{strings.Replace(ok, "ID", "6", 1) + ok}, "200 ok", 1},
+		{"an answer of another first", "/book/1", []string{strings.Replace(answerOf(200, "Signed: 1\r\n", "no"), "ID", "6", 1) + ok}, "200 ok", 1},
 		{"cut, may run once", "/book/1", []string{"!"}, "502 code 4008", 1},
 		{"cut in its answer, may run once", "/book/1", []string{"HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nContent-Length: 9\r\n\r\nok!"}, "502 code 4008", 1},
 		{"no protocol, may run once", "/book/1", []string{"garbage\r\n\r\n!"}, "502 code 4008", 1},
@@ -243,6 +244,9 @@
 		{"not run, two sends", "/look/1", []string{full, ok}, "200 ok", 2},
 		{"ran, then not run", "/look/1", []string{"!", full}, "502 code 4013", 2},
 		{"busy without the promise", "/book/1", []string{answerOf(503, "Signed: 1\r\n", "")}, "502 code 4007", 1},
+		{"cut, may run once, two sends allowed", "/claim/1", []string{"!", ok}, "502 code 4008", 1},
+		{"failed, may run once, two sends allowed", "/claim/1", []string{answerOf(500, "Signed: 1\r\n", "no"), ok}, "500 no", 1},
+		{"not run, may run once, two sends allowed", "/claim/1", []string{full, ok}, "200 ok", 2},
 		{"another upstream", "/book/1", []string{answerOf(421, "Signed: 1\r\n", "")}, "503 code 4015", 1},
 		{"success that is not the upstream's own", "/book/1", []string{answerOf(200, "", "ok")}, "502 code 4007", 1},
 		{"stream", "/draft/1", []string{streamOf(eventOf(1), eventOf(2)) + streamEnd}, "200 " + eventOf(1) + eventOf(2), 1},
@@ -316,6 +320,14 @@
 	}
 }
 
+// A request that may have run is not refused as one that did not, though
+// nobody is left to send it to.
+func TestNobodyLeftAfterASend(t *testing.T) {
+	w := newWorld(t, 1, "!")
+	assert.Equal(t, w.call(t, http.MethodPost, "/look/1", "x"), "502 code 4013")
+	assert.Equal(t, w.sends(), 1)
+}
+
 // Once its caller has left, the upstream's connection closes.
 func TestCallerLeaves(t *testing.T) {
 	w := newWorld(t, 1, streamOf(eventOf(1)))
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -145,9 +145,12 @@
 			now := start.Add(time.Duration(ms) * time.Millisecond)
 			r := question(PartID(ms))
 			r.Deadline = now.Add(time.Second)
-			if ask(t, c, now, Ticket(ms), r) != "" {
-				c.Handle(now, Done{Ticket(ms), Served})
-				total++
+			for _, e := range c.Handle(now, Ask{Ticket(ms), r}) {
+				// Also one that waited may be granted now.
+				if g, ok := e.(Grant); ok {
+					c.Handle(now, Done{g.Ticket, Served})
+					total++
+				}
 			}
 		}
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -61,7 +61,7 @@
 }
 
 func TestExchange(t *testing.T) {
-	late := strings.Replace(whole, "X-Id: 1", "X-Id: 0", 1)
+	late := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 0\r\n\r\nno"
 	tests := []struct {
 		name string
 		// script is sent on the first connection.
