--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
