--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -87,7 +87,7 @@
 	return fx.New(
 		options(0),
 		fx.Supply(p, p.Log),
-		fx.Provide(p.dialer, p.desk, p.catalog, p.roster, p.gateway),
+		fx.Provide(p.open, p.dialer, p.desk, p.catalog, p.roster, p.gateway),
 		fx.Invoke(p.run),
 	)
 }
@@ -117,9 +117,9 @@
 	}
 }
 
-func (p *Direct) roster(d *wire.Dialer, k *placement.Desk, c *catalog.Task, b *suspect.Book, inc fleet.Incarnation) *roster.Task {
+func (p *Direct) roster(l *directListeners, d *wire.Dialer, k *placement.Desk, c *catalog.Task, b *suspect.Book, inc fleet.Incarnation) *roster.Task {
 	t := &roster.Task{
-		Self: string(p.PeerListen), DataCentre: p.DataCentre, Incarnation: inc, Seeds: p.Seeds,
+		Self: l.peers.Addr().String(), DataCentre: p.DataCentre, Incarnation: inc, Seeds: p.Seeds,
 		Dialer: d, Desk: k, Catalog: c, Suspects: b, Log: p.Log,
 	}
 	b.Spread = t.Spread
@@ -138,23 +138,21 @@
 // directListeners are the open listeners of the program.
 type directListeners struct{ callers, ready, peers, metrics net.Listener }
 
-func (p *Direct) open() (l directListeners, err error) {
+func (p *Direct) open() (*directListeners, error) {
+	var l directListeners
+	var err error
 	for _, o := range []struct {
 		to *net.Listener
 		at fleet.Address
 	}{{&l.callers, p.Listen}, {&l.ready, p.ReadyListen}, {&l.peers, p.PeerListen}, {&l.metrics, p.MetricsListen}} {
 		if *o.to, err = listen(nil, o.at); err != nil {
-			return l, err
+			return nil, err
 		}
 	}
-	return l, nil
+	return &l, nil
 }
 
-func (p *Direct) run(lc fx.Lifecycle, gr *group, k *placement.Desk, c *catalog.Task, t *roster.Task, g *direct.Gateway) error {
-	l, err := p.open()
-	if err != nil {
-		return err
-	}
+func (p *Direct) run(lc fx.Lifecycle, gr *group, l *directListeners, k *placement.Desk, c *catalog.Task, t *roster.Task, g *direct.Gateway) {
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	lc.Append(fx.Hook{
@@ -188,8 +186,8 @@
 	serveHTTP(lc, gr, l.callers, newDirectServer(g))
 	lc.Append(fx.StopHook(func(context.Context) { p.drain(g) }))
 	p.Log.Write(event.Started, "program", "direct", "vm", p.Name, "data_centre", p.DataCentre,
-		"listen", p.Listen, "peer_listen", p.PeerListen, "metrics_listen", p.MetricsListen)
-	return nil
+		"listen", l.callers.Addr(), "peer_listen", l.peers.Addr(), "ready_listen", l.ready.Addr(),
+		"metrics_listen", l.metrics.Addr())
 }
 
 // newDirectServer serves callers. A call bounds its own body and answer.
