Give the direct gateway's metrics names of their own, and hold them to the docs

Cause: two of its metrics had the names of the gateway's with other labels, and no counter stood before its first event, so first rates were wrong.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -2,21 +2,17 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/upstream"
-	"jasminewing.dev/jasminewing/pkg/result"
 )
 
 // Catalog gives what is published.
@@ -124,35 +120,6 @@
 	t.serve(r)
 }
 
-// metricSet holds the gateway's metrics.
-type metricSet struct {
-	set         *metrics.Set
-	connections *metrics.Counter
-}
-
-func (m *metricSet) init(g *Gateway) {
-	m.set = metrics.NewSet()
-	m.connections = m.set.NewCounter("jasminewing_upstream_connections_total")
-	m.set.NewGauge("jasminewing_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
-	m.set.NewGauge("jasminewing_table_revision", func() float64 { return float64(g.Catalog.View().Revision) })
-}
-
-// ended counts a request by route and code, and its times.
-func (m *metricSet) ended(t *transfer, code result.Code) {
-	name := ""
-	if t.call != nil && t.call.route != nil {
-		name = t.call.route.Name
-	}
-	m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_requests_total{route=%q,code=\"%d\"}", name, code)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_request_seconds{route=%q}", name)).Update(time.Since(t.arrived).Seconds())
-	if !t.first.IsZero() {
-		m.set.GetOrCreateHistogram(fmt.Sprintf("jasminewing_first_part_seconds{route=%q}", name)).Update(t.first.Sub(t.arrived).Seconds())
-	}
-	for _, s := range t.sends {
-		m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_sends_total{outcome=%q}", s.outcome.String())).Inc()
-	}
-}
-
 // drainPoll is how often a draining gateway looks whether all has ended.
 const drainPoll = 50 * time.Millisecond
 
--- /dev/null
+++ b/internal/direct/metrics_test.go
@@ -0,0 +1,34 @@
+package direct
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"regexp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Every metric of a direct gateway is in docs/METRICS.md, and no other is; no
+// label names an account or a request.
+func TestMetrics(t *testing.T) {
+	w := newWorld(t, 2, "!", answerOf(200, "Signed: 1\r\n", "ok"))
+	assert.Equal(t, w.call(t, http.MethodPost, "/look/1", "x"), "200 ok")
+	var b bytes.Buffer
+	w.gateway.WriteMetrics(&b)
+	names := func(text string, pattern string) map[string]bool {
+		found := map[string]bool{}
+		for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+			found[m[1]] = true
+		}
+		return found
+	}
+	docs, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	want := names(string(docs), "(?m)^\\| `(\\w+)` \\|.*\\| direct \\|")
+	got := names(b.String(), `(?m)^(\w+_(?:total|seconds|in_flight|revision))(?:_bucket|_sum|_count)?[{ ]`)
+	assert.DeepEqual(t, got, want)
+	assert.Assert(t, bytes.Contains(b.Bytes(), []byte(`jasminewing_direct_resends_total{after="broken"} 1`)), b.String())
+	assert.Assert(t, !bytes.Contains(b.Bytes(), []byte("market")))
+}
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -199,6 +199,7 @@
 		if !again {
 			return err
 		}
+		t.gateway.metrics.resends(t.lastSend().outcome).Inc()
 		t.gateway.Log.Write(event.RequestResent, "request_id", t.call.ID, "after", t.lastSend().outcome,
 			"upstream", t.lastSend().upstream, "last_event", t.last)
 	}
