--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -117,14 +117,15 @@
 	t.gateway.Log.Write(event.RequestEnded, fields...)
 }
 
-// sendsText gives the sends as upstream:outcome:milliseconds.
+// sendsText gives the sends as upstream:outcome:took:waited:expected, times in
+// milliseconds.
 func (t *transfer) sendsText() string {
 	var b strings.Builder
 	for i, s := range t.sends {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		fmt.Fprintf(&b, "%s:%s:%d", s.upstream, s.outcome, s.took.Milliseconds())
+		fmt.Fprintf(&b, "%s:%s:%d:%d:%d", s.upstream, s.outcome, s.took.Milliseconds(), s.waited.Milliseconds(), s.expected.Milliseconds())
 		if s.detail != "" {
 			fmt.Fprintf(&b, "(%s)", s.detail)
 		}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -34,6 +34,7 @@
 	grant    placement.Grant
 	exchange *upstream.Exchange
 	started  time.Time
+	waited   time.Duration
 	begun    bool
 	// silence fires when a repeatable request should go elsewhere; nil else.
 	silence *time.Timer
@@ -41,8 +42,8 @@
 
 // send sends the request to the upstream of a grant. again says that it should
 // be sent once more; else the error is nil if its answer is out or kept.
-func (t *transfer) send(ctx context.Context, g placement.Grant) (again bool, err error) {
-	o := &outgoing{transfer: t, grant: g, started: time.Now()}
+func (t *transfer) send(ctx context.Context, g placement.Grant, waited time.Duration) (again bool, err error) {
+	o := &outgoing{transfer: t, grant: g, started: time.Now(), waited: waited}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	o.watch(cancel)
@@ -117,7 +118,10 @@
 
 // note records how the send ended.
 func (o *outgoing) note(outcome placement.Outcome, detail string) {
-	o.sends = append(o.sends, send{o.grant.Upstream.ID, outcome, time.Since(o.started), o.exchange.Reused, detail})
+	o.sends = append(o.sends, send{
+		upstream: o.grant.Upstream.ID, outcome: outcome, took: time.Since(o.started),
+		waited: o.waited, expected: o.grant.Expected, detail: detail,
+	})
 }
 
 // take takes the answer.
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -65,8 +65,10 @@
 	upstream route.UpstreamID
 	outcome  placement.Outcome
 	took     time.Duration
-	reused   bool
-	detail   string
+	// waited is how long the request waited for the grant, and expected the time
+	// in which the answer was expected to begin.
+	waited, expected time.Duration
+	detail           string
 }
 
 // keptAnswer is an upstream's whole answer.
@@ -129,6 +131,7 @@
 
 // classify finds route, account and deadline.
 func (c *Call) classify(table *route.Table, arrived time.Time) error {
+	c.version = table.Version
 	var ok bool
 	if c.route, ok = table.Match(c.Host, c.Path); !ok {
 		return result.Errorf(result.NotFound, "no route for this host and path")
@@ -145,7 +148,6 @@
 		patience = min(patience, c.route.Timeout)
 	}
 	c.arrived, c.deadline = arrived, arrived.Add(patience)
-	c.version = table.Version
 	c.service = c.route.Pick(xxhash.Sum64String(string(c.ID)))
 	return nil
 }
@@ -191,11 +193,12 @@
 // error is nil if the answer is out or kept.
 func (t *transfer) run(ctx context.Context) error {
 	for {
+		asked := time.Now()
 		grant, err := t.gateway.Desk.Ask(ctx, t.ask())
 		if err != nil {
 			return t.unplaced(ctx, err)
 		}
-		again, err := t.send(ctx, grant)
+		again, err := t.send(ctx, grant, time.Since(asked))
 		if !again {
 			return err
 		}
