Bound the exchanges that a gateway begins

Cause: each gateway called each other one every 400 ms: 350 of them would make 870 calls a second each, far over 24 KB a second for control. Change: four calls an interval, those asked longest ago first, sixteen names of others in each; how long one may say nothing grows with the number. Tests: TestRoundsAreBounded, TestSilentGateway, TestNamesInTurn.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -32,10 +33,16 @@
 	interval = 400 * time.Millisecond
 	// callTimeout bounds an exchange.
 	callTimeout = 500 * time.Millisecond
-	// silentAfter is when a gateway counts as silent; it is then asked less often.
-	silentAfter = 2 * time.Second
+	// callsARound bounds the exchanges that a gateway begins in an interval: with
+	// 350 gateways each would else spend more than its 24 KB a second on them.
+	callsARound = 4
+	// silentRounds is how many times the usual time between two exchanges a
+	// gateway may say nothing before it counts as silent.
+	silentRounds = 5
 	// silentInterval is the time between two calls to a silent gateway.
 	silentInterval = 2 * time.Second
+	// namesTold is the most addresses of other gateways in an exchange.
+	namesTold = 16
 	// forgetAfter is when a silent gateway ceases to count in shares of bounds of
 	// the fleet: one that is cut off may go on sending until then.
 	forgetAfter = 2 * time.Minute
@@ -71,7 +78,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	now   chan struct{}
+	// told is where the last row of names began.
+	told int
+	now  chan struct{}
 }
 
 // peer is another gateway.
@@ -118,24 +127,37 @@
 	}
 }
 
-// round calls each gateway that is due.
+// round calls the gateways that are due.
 func (t *Task) round(ctx context.Context, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for address, p := range t.peers {
-		t.age(now, address, p)
-		if p.calling || p.silent && now.Sub(p.asked) < silentInterval {
-			continue
-		}
+	for _, address := range t.due(now) {
+		p := t.peers[address]
 		p.calling, p.asked = true, now
 		go t.call(ctx, address)
 	}
 	t.Desk.Tell(placement.Gateways{Count: t.counted(now)})
 }
 
+// due gives the gateways to call now: those that were asked longest ago.
+func (t *Task) due(now time.Time) []string {
+	var out []string
+	for address, p := range t.peers {
+		t.age(now, address, p)
+		if !p.calling && !(p.silent && now.Sub(p.asked) < silentInterval) {
+			out = append(out, address)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(t.peers[a].asked.Compare(t.peers[b].asked), cmp.Compare(a, b))
+	})
+	return out[:min(len(out), callsARound)]
+}
+
 // age marks a gateway that is no longer heard from.
 func (t *Task) age(now time.Time, address string, p *peer) {
-	if p.silent || now.Sub(p.heard) < silentAfter {
+	rounds := (len(t.peers) + callsARound - 1) / callsARound
+	if p.silent || now.Sub(p.heard) < silentRounds*time.Duration(rounds)*interval {
 		return
 	}
 	p.silent = true
@@ -186,12 +208,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s.Gateways = t.names()
+	return s
+}
+
+// names gives some gateways that are heard from, other ones each time.
+func (t *Task) names() []string {
+	var all []string
 	for _, address := range slices.Sorted(maps.Keys(t.peers)) {
 		if p := t.peers[address]; !p.heard.IsZero() && !p.silent {
-			s.Gateways = append(s.Gateways, address)
+			all = append(all, address)
 		}
 	}
-	return s
+	if len(all) <= namesTold {
+		return all
+	}
+	t.told = (t.told + namesTold) % len(all)
+	return append(all[t.told:], all[:t.told]...)[:namesTold]
 }
 
 // hear takes what another gateway told.
