--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -48,7 +48,6 @@
 	Header http.Header
 	Body   []byte
 
-	arrived  time.Time
 	deadline time.Time
 	route    *route.Route
 	account  *route.Account
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -147,7 +147,7 @@
 	if c.route.Timeout > 0 {
 		patience = min(patience, c.route.Timeout)
 	}
-	c.arrived, c.deadline = arrived, arrived.Add(patience)
+	c.deadline = arrived.Add(patience)
 	c.service = c.route.Pick(xxhash.Sum64String(string(c.ID)))
 	return nil
 }
@@ -215,7 +215,6 @@
 		Service:      c.service,
 		Priority:     c.route.PriorityOf(c.account),
 		Objective:    c.route.Objective,
-		Arrived:      c.arrived,
 		Deadline:     c.deadline,
 		Prompt:       c.Prompt,
 		OutputTokens: c.expectedOutput(),
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -40,7 +40,7 @@
 // draft is a request with a long shared part.
 func draft(thing PartID, own PartID) Request {
 	return Request{
-		Service: "drafting", Objective: 2500 * time.Millisecond, Arrived: start, Deadline: start.Add(10 * time.Second),
+		Service: "drafting", Objective: 2500 * time.Millisecond, Deadline: start.Add(10 * time.Second),
 		Prompt: []Part{{thing, 13_300}, {1_000_000 + own, 3_700}}, OutputTokens: 120, Bytes: 19_000,
 	}
 }
@@ -48,7 +48,7 @@
 // question is a request with a short prompt.
 func question(own PartID) Request {
 	return Request{
-		Service: "drafting", Objective: 500 * time.Millisecond, Arrived: start, Deadline: start.Add(12 * time.Second),
+		Service: "drafting", Objective: 500 * time.Millisecond, Deadline: start.Add(12 * time.Second),
 		Prompt: []Part{{7, 350}, {2_000_000 + own, 1_110}}, OutputTokens: 170, Bytes: 4_000,
 	}
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -44,7 +44,6 @@
 	Service   route.ServiceName
 	Priority  route.Priority
 	Objective time.Duration
-	Arrived   time.Time
 	// Deadline is when the answer must be there.
 	Deadline time.Time
 	// Prompt is empty for a plain service.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -103,13 +103,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	// HeaderBytes and BodyBytes are the largest sizes of a request.
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTimeout bounds the time to send a head.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long an idle connection is kept.
-	IdleTimeout time.Duration
+	// BodyBytes is the largest size of a request's body.
+	BodyBytes int64
 }
 
 // Table is one version of the configuration.
