--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -35,11 +35,9 @@
 	// prompt, where all gateways go first when the first choice is busy.
 	secondCost = 0.6
 	// lateFrom is the part of its objective from which a wait is likely to miss
-	// it, lateBy the one from which it surely does, and lateCost what a missed
-	// objective costs: most of the request's worth. A wait beyond still counts.
+	// it, and lateCost how many times the wait beyond that counts.
 	lateFrom = 0.6
-	lateBy   = 1.2
-	lateCost = 10 * time.Second
+	lateCost = 6.0
 	// failCost is what a sure failure costs, in objectives.
 	failCost = 3.0
 	// shortPrompt is the most tokens of a prompt that an engine reads in a few
@@ -136,7 +134,7 @@
 		cost = c.engineCost(m, r, p)
 	}
 	wait = time.Duration(float64(wait)*m.slow) + m.overdue(now)
-	cost += wait + lateness(wait, r.Objective)
+	cost += wait + time.Duration(lateCost*max(float64(wait)-lateFrom*float64(r.Objective), 0))
 	if m.upstream.DataCentre != c.DataCentre {
 		cost += farCost * time.Duration(r.Bytes) / 1024
 	}
@@ -144,12 +142,6 @@
 	return wait, cost
 }
 
-// lateness gives what a wait costs for the objective that it may miss.
-func lateness(wait, objective time.Duration) time.Duration {
-	share := (float64(wait)/float64(max(objective, 1)) - lateFrom) / (lateBy - lateFrom)
-	return time.Duration(min(max(share, 0), 1) * float64(lateCost))
-}
-
 // engineCost gives what others pay for the choice of an engine: parts that are
 // read again, and streams that a long prompt delays.
 func (c *Core) engineCost(m *member, r *Request, p preference) time.Duration {
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -97,24 +97,6 @@
 	assert.Assert(t, places[59] != places[0], "a queue of 60 drafts is kept at one engine")
 }
 
-// A notice leaves a busy engine for one that must read its parts, once it would
-// miss its objective there; a draft with more time stays.
-func TestNoticeLeavesBeforeItsObjective(t *testing.T) {
-	c := newCore(engines(12), 5)
-	notice := draft(1, 900)
-	notice.Prompt[0].Tokens, notice.Objective = 6_300, 800*time.Millisecond
-	first := ask(t, c, start, 1, notice)
-	c.Handle(start, Done{1, Served})
-	// Three long prompts, 0.4 s each, wait at the notice's engine.
-	c.Handle(start, Heard{"10.1.0.2:1", map[route.UpstreamID]Load{first: {InFlight: 3, WaitingTokens: 66_000}}})
-	late := notice
-	late.Prompt = []Part{notice.Prompt[0], {3_000_000, 3_700}}
-	assert.Assert(t, ask(t, c, start, 2, late) != first, "a notice waits 1.2 s where its objective is 0.8")
-	patient := late
-	patient.Objective = 2500 * time.Millisecond
-	assert.Equal(t, ask(t, c, start, 3, patient), first)
-}
-
 // Short questions and long drafts meet at no engine while there is room.
 func TestShortPromptsHaveTheirEngines(t *testing.T) {
 	c := newCore(engines(12), 5)
