Keep the name of the platform's settings variable in its folder

Cause: cmd/jasminewing named the variable in a struct tag, and the test that keeps the platform's names in platform/ did not look for it.

--- a/cmd/jasminewing/direct.go
+++ b/cmd/jasminewing/direct.go
@@ -22,7 +22,7 @@
 
 // directCommand runs a gateway that sends to upstreams directly.
 type directCommand struct {
-	SettingsFile string `long:"settings" env:"JASMINEWING_NODE_FILE" value-name:"FILE" description:"settings file of the users' platform"`
+	SettingsFile string `long:"settings" value-name:"FILE" description:"settings file of the users' platform; empty for the one that the platform names"`
 	MetricsPort  uint16 `long:"metrics-port" env:"JASMINEWING_METRICS_PORT" value-name:"PORT" default:"9401" description:"port of the VM's address that serves metrics"`
 
 	stdout io.Writer
