Read the direct gateway once more: one of each, and less work on the hot path

Found by reading the whole change; behaviour is meant to stay as it was. Written twice: peers were served beside servePeers, whose log line is throttled by host (ours by host and port, so hardly) and counted; the seed beside xxhash; the ids of events read by two loops. Each now calls the one piece. Peers that are refused are counted since, the only difference meant. Dead: the core's view, a placed request's copy, a count of events, a result of the cold check, a list that always held one fingerprint. Work: each choice sorted the engines kept for short prompts and looked at an upstream's loads and missing parts up to three times; now the first is done when a view is published, the others once. A body was copied once more than needed and hashed again for each broken send.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -106,7 +106,6 @@
 // step makes one call to the store.
 func (t *Task) step(ctx context.Context) error {
 	t.mu.Lock()
-	t.core.Decode = t.Decode
 	loaded, at := t.core.Loaded(), t.core.At()
 	t.mu.Unlock()
 	if !loaded {
@@ -175,6 +174,7 @@
 func (t *Task) apply(change func(*Core, time.Time) []Fault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.core.Decode = t.Decode
 	now := time.Now()
 	before := t.View()
 	for _, f := range change(&t.core, now) {
@@ -253,7 +253,6 @@
 	}
 	t.Log.Write(event.FetchedState, "from", address, "revision", state.Revision)
 	t.apply(func(c *Core, now time.Time) []Fault {
-		c.Decode = t.Decode
 		return c.Load(now, entries, Revision(state.Revision), state.Settled)
 	})
 }
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -68,7 +68,7 @@
 // refuse answers with an error of the gateway's own.
 func (t *transfer) refuse(err error) {
 	code := result.CodeOf(err)
-	t.gateway.metrics.refusal(code).Inc()
+	t.gateway.CountRefusal(code)
 	h := t.w.Header()
 	h.Set("Content-Type", "application/json")
 	status := t.gateway.Callers.Refuse(h, t.call, code, result.RetryAfterOf(err))
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -19,6 +19,7 @@
 
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -53,6 +54,8 @@
 	account  *route.Account
 	version  route.Version
 	service  route.ServiceName
+	// print names the request across its repeats.
+	print suspect.Fingerprint
 }
 
 // CallerProtocol reads callers' requests and words refusals.
--- a/internal/direct/events.go
+++ b/internal/direct/events.go
@@ -19,9 +19,7 @@
 type events struct {
 	source io.Reader
 	// last is the id of the last whole event given out; empty for none.
-	last string
-	// count is the number of whole events given out.
-	count   int
+	last    string
 	buffer  []byte
 	pending []byte
 }
@@ -52,7 +50,9 @@
 	}
 	whole := e.pending[:end:end]
 	e.pending = append([]byte(nil), e.pending[end:]...)
-	e.note(whole)
+	if _, last, found := ids(whole); found {
+		e.last = last
+	}
 	return whole
 }
 
@@ -67,26 +67,19 @@
 	return end
 }
 
-// note keeps the last id and counts events.
-func (e *events) note(whole []byte) {
+// ids gives the ids of the first and the last event, if any has one.
+func ids(whole []byte) (first, last string, found bool) {
 	for line := range bytes.Lines(whole) {
-		name, value, found := bytes.Cut(line, []byte(":"))
-		if found && string(name) == "id" {
-			e.last = strings.TrimSpace(string(value))
-			e.count++
+		name, value, isField := bytes.Cut(line, []byte(":"))
+		if !isField || string(name) != "id" {
+			continue
 		}
-	}
-}
-
-// firstID gives the id of the first event; empty for none.
-func firstID(whole []byte) string {
-	for line := range bytes.Lines(whole) {
-		name, value, found := bytes.Cut(line, []byte(":"))
-		if found && string(name) == "id" {
-			return strings.TrimSpace(string(value))
+		last = strings.TrimSpace(string(value))
+		if !found {
+			first, found = last, true
 		}
 	}
-	return ""
+	return first, last, found
 }
 
 // follows says that a stream resumed after one event goes on with the next.
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -13,6 +13,7 @@
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/upstream"
+	"jasminewing.dev/jasminewing/pkg/result"
 )
 
 // Catalog gives what is published.
@@ -22,8 +23,8 @@
 type Suspects interface {
 	// Refused says that a request is not to be sent any more.
 	Refused(now time.Time, f suspect.Fingerprint) bool
-	// Died tells that an upstream ended while it ran these requests.
-	Died(now time.Time, u route.UpstreamID, f []suspect.Fingerprint)
+	// Died tells that an upstream ended while it ran a request.
+	Died(now time.Time, u route.UpstreamID, f suspect.Fingerprint)
 }
 
 // Gateway serves callers. Its exported fields are set before Init.
@@ -71,6 +72,9 @@
 // InFlight gives the number of requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// CountRefusal counts what was refused before it became a request.
+func (g *Gateway) CountRefusal(c result.Code) { g.metrics.refusal(c).Inc() }
+
 // WriteMetrics writes the gateway's metrics as text.
 func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
 
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -71,8 +71,8 @@
 // noSuspects suspects nobody, or those that it holds.
 type noSuspects map[suspect.Fingerprint]bool
 
-func (s noSuspects) Refused(_ time.Time, f suspect.Fingerprint) bool         { return s[f] }
-func (s noSuspects) Died(time.Time, route.UpstreamID, []suspect.Fingerprint) {}
+func (s noSuspects) Refused(_ time.Time, f suspect.Fingerprint) bool       { return s[f] }
+func (s noSuspects) Died(time.Time, route.UpstreamID, suspect.Fingerprint) {}
 
 // world is a gateway with scripted upstreams.
 type world struct {
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -10,7 +10,6 @@
 
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
-	"jasminewing.dev/jasminewing/internal/suspect"
 	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -66,7 +65,7 @@
 	}
 	t.gateway.Desk.Tell(placement.Done{Ticket: g.Ticket, Outcome: outcome})
 	if outcome == placement.Broken {
-		t.gateway.Suspects.Died(time.Now(), g.Upstream.ID, []suspect.Fingerprint{c.fingerprint()})
+		t.gateway.Suspects.Died(time.Now(), g.Upstream.ID, c.print)
 	}
 	return again, err
 }
@@ -239,7 +238,7 @@
 		whole, err := e.next()
 		if len(whole) > 0 {
 			o.heard()
-			if resumed && !follows(o.last, firstID(whole)) {
+			if first, _, _ := ids(whole); resumed && !follows(o.last, first) {
 				return o.fail(ctx, placement.Failed, "the resumed stream does not go on where it ended", result.UpstreamBadStream)
 			}
 			resumed = false
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -1,12 +1,12 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +23,8 @@
 	maxAnswer = 16 << 20
 	// unsaidPatience is how long a caller waits that does not say.
 	unsaidPatience = 30 * time.Second
+	// unsaidBody is the most bytes of a body if the table does not say.
+	unsaidBody = 1 << 20
 	// writeSlack is how long after a request's deadline a caller may still take
 	// its answer.
 	writeSlack = 2 * time.Second
@@ -123,7 +125,8 @@
 	if err := c.readBody(t.w, r, v.Table.Limits.BodyBytes); err != nil {
 		return err
 	}
-	if t.gateway.Suspects.Refused(time.Now(), c.fingerprint()) {
+	c.print = c.fingerprint()
+	if t.gateway.Suspects.Refused(time.Now(), c.print) {
 		return result.Errorf(result.Suspect, "upstreams ended while they ran this request")
 	}
 	return nil
@@ -154,13 +157,13 @@
 
 // readBody reads the body whole, within its bound and the request's time.
 func (c *Call) readBody(w http.ResponseWriter, r *http.Request, most int64) error {
-	if most <= 0 || r.ContentLength == 0 {
-		most = max(most, 1<<20)
+	if most <= 0 {
+		most = unsaidBody
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(c.deadline)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeSlack))
-	var b strings.Builder
+	var b bytes.Buffer
 	if r.ContentLength > 0 && r.ContentLength <= most {
 		b.Grow(int(r.ContentLength))
 	}
@@ -173,7 +176,7 @@
 		return result.Errorf(result.BadBody, "read body: %w", err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	c.Body = []byte(b.String())
+	c.Body = b.Bytes()
 	return nil
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -66,10 +66,14 @@
 	var best *member
 	var least, expected time.Duration
 	for _, m := range c.members {
-		if !c.usable(now, m, r) {
+		if !m.allowed(r.Service) {
 			continue
 		}
-		wait, cost := c.cost(now, m, r, p)
+		w := c.workOf(now, m, r)
+		if !c.usable(now, m, r, w) {
+			continue
+		}
+		wait, cost := c.cost(now, m, r, p, w)
 		if best == nil || cost < least || cost == least && m.upstream.ID < best.upstream.ID {
 			best, least, expected = m, cost, wait
 		}
@@ -82,26 +86,35 @@
 	return m.upstream.Service == s && !m.upstream.Leaving && !m.out && m.service != nil
 }
 
-// usable says that an upstream may get the request now.
-func (c *Core) usable(now time.Time, m *member, r *Request) bool {
-	if !m.allowed(r.Service) || now.Before(m.avoided) || slices.Contains(r.Tried, m.upstream.ID) {
-		return false
-	}
-	if _, bears := m.cold(now, c.divisor()); !bears {
+// work is what an upstream has to do for all gateways, and the tokens that it
+// would read for one request more.
+type work struct {
+	Load
+	missing int
+}
+
+func (c *Core) workOf(now time.Time, m *member, r *Request) work {
+	sum := c.others(now, m.upstream.ID)
+	sum.InFlight += m.inFlight
+	sum.WaitingTokens += m.waitingTokens
+	sum.MemoryTokens += m.memory
+	return work{sum, m.cache.missing(r.Prompt)}
+}
+
+// usable says that an allowed upstream may get the request now.
+func (c *Core) usable(now time.Time, m *member, r *Request, w work) bool {
+	if now.Before(m.avoided) || slices.Contains(r.Tried, m.upstream.ID) || !m.bears(now, c.divisor()) {
 		return false
 	}
-	others := c.others(now, m.upstream.ID)
-	inFlight := m.inFlight + others.InFlight
 	if connections := m.service.MaxConnections; connections > 0 && float64(m.inFlight) >= float64(connections)/c.divisor() {
 		return false
 	}
 	e := m.service.Engine
 	if e == nil {
-		return inFlight < max(m.upstream.Slots, 1)+plainQueue
+		return w.InFlight < max(m.upstream.Slots, 1)+plainQueue
 	}
-	need := m.cache.missing(r.Prompt) + r.OutputTokens
-	return inFlight < e.Batch &&
-		(inFlight == 0 || float64(m.memory+others.MemoryTokens+need) <= memoryShare*float64(e.MemoryTokens))
+	return w.InFlight < e.Batch &&
+		(w.InFlight == 0 || float64(w.MemoryTokens+w.missing+r.OutputTokens) <= memoryShare*float64(e.MemoryTokens))
 }
 
 // others sums what other gateways have in flight at an upstream.
@@ -121,17 +134,14 @@
 
 // cost gives the time in which the answer is expected to begin, and what the
 // choice costs in all, as a time.
-func (c *Core) cost(now time.Time, m *member, r *Request, p preference) (wait, cost time.Duration) {
-	others := c.others(now, m.upstream.ID)
+func (c *Core) cost(now time.Time, m *member, r *Request, p preference, w work) (wait, cost time.Duration) {
 	if m.service.Engine == nil {
-		rounds := (m.inFlight + others.InFlight) / max(m.upstream.Slots, 1)
-		wait = plainTime * time.Duration(1+rounds)
+		wait = plainTime * time.Duration(1+w.InFlight/max(m.upstream.Slots, 1))
 		// Among free upstreams, the one with the fewest requests.
-		cost = time.Millisecond * time.Duration(m.inFlight+others.InFlight)
+		cost = time.Millisecond * time.Duration(w.InFlight)
 	} else {
-		wait = firstTime + reading(m.cache.missing(r.Prompt), total(r.Prompt)) +
-			reading(m.waitingTokens+others.WaitingTokens, 0)
-		cost = c.engineCost(m, r, p)
+		wait = firstTime + reading(w.missing, p.tokens) + reading(w.WaitingTokens, 0)
+		cost = engineCost(m, r, p)
 	}
 	wait = time.Duration(float64(wait)*m.slow) + m.overdue(now)
 	cost += wait + time.Duration(lateCost*max(float64(wait)-lateFrom*float64(r.Objective), 0))
@@ -144,7 +154,7 @@
 
 // engineCost gives what others pay for the choice of an engine: parts that are
 // read again, and streams that a long prompt delays.
-func (c *Core) engineCost(m *member, r *Request, p preference) time.Duration {
+func engineCost(m *member, r *Request, p preference) time.Duration {
 	var cost time.Duration
 	if m.upstream.ID != p.first {
 		cost = againCost * time.Duration(m.cache.missing(r.Prompt[:max(len(r.Prompt)-1, 0)])) / 1000
@@ -152,17 +162,15 @@
 	if m.upstream.ID == p.second {
 		cost = time.Duration(secondCost * float64(cost))
 	}
-	switch short := isShort(r); {
-	case short && !p.short[m.upstream.ID]:
+	switch {
+	case p.short && !m.short:
 		cost += mixedCost
-	case !short && p.short[m.upstream.ID]:
+	case !p.short && m.short:
 		cost += mixingCost
 	}
 	return cost
 }
 
-func isShort(r *Request) bool { return total(r.Prompt) <= shortPrompt }
-
 // reading is the time in which an engine reads prompt tokens that end a context.
 func reading(tokens, context int) time.Duration {
 	pairs := float64(tokens) * max(float64(context)-float64(tokens)/2, 0) / 1e6
@@ -181,9 +189,7 @@
 func (m *member) overdue(now time.Time) time.Duration {
 	var late time.Duration
 	for _, p := range m.unanswered {
-		if !p.begun {
-			late = max(late, now.Sub(p.sent)-p.expected)
-		}
+		late = max(late, now.Sub(p.sent)-p.expected)
 	}
 	return late
 }
@@ -193,22 +199,23 @@
 // requests of all.
 type preference struct {
 	first, second route.UpstreamID
-	// short are the engines that are kept for short prompts.
-	short map[route.UpstreamID]bool
+	// tokens are those of the prompt; short says that they are few.
+	tokens int
+	short  bool
 }
 
 func (c *Core) prefer(r *Request) preference {
-	p := preference{short: c.shortEngines(r.Service)}
+	p := preference{tokens: total(r.Prompt)}
+	p.short = p.tokens <= shortPrompt
 	if len(r.Prompt) == 0 {
 		return p
 	}
 	// The part before the last is the most specific that requests share.
 	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
-	short := isShort(r)
 	var most, next uint64
 	for _, m := range c.members {
 		id := m.upstream.ID
-		if !m.allowed(r.Service) || p.short[id] != short || short && m.upstream.DataCentre != c.DataCentre {
+		if !m.allowed(r.Service) || m.short != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
 			continue
 		}
 		switch h := xxhash.Sum64String(key + "/" + string(id)); {
@@ -222,30 +229,31 @@
 	return p
 }
 
-// shortEngines gives the engines of a service that are kept for short prompts:
-// shortShare of each data centre, and one at least of two or more.
-func (c *Core) shortEngines(s route.ServiceName) map[route.UpstreamID]bool {
-	byCentre := make(map[route.DataCentre][]rankedUpstream)
-	for id, m := range c.members {
-		if m.allowed(s) && m.service.Engine != nil {
-			dc := m.upstream.DataCentre
-			byCentre[dc] = append(byCentre[dc], rankedUpstream{xxhash.Sum64String("short/" + string(id)), id})
+// assignShort keeps engines for short prompts: shortShare of each service's in a
+// data centre, and one at least of two or more.
+func (c *Core) assignShort() {
+	type place struct {
+		service route.ServiceName
+		centre  route.DataCentre
+	}
+	engines := make(map[place][]*member)
+	for _, m := range c.members {
+		m.short = false
+		if m.allowed(m.upstream.Service) && m.service.Engine != nil {
+			at := place{m.upstream.Service, m.upstream.DataCentre}
+			engines[at] = append(engines[at], m)
 		}
 	}
-	short := make(map[route.UpstreamID]bool)
-	for _, engines := range byCentre {
-		if len(engines) < 2 {
+	for _, some := range engines {
+		if len(some) < 2 {
 			continue
 		}
-		slices.SortFunc(engines, func(a, b rankedUpstream) int { return cmp.Compare(a.rank, b.rank) })
-		for _, e := range engines[:max(int(shortShare*float64(len(engines))), 1)] {
-			short[e.id] = true
+		slices.SortFunc(some, func(a, b *member) int { return cmp.Compare(shortRank(a), shortRank(b)) })
+		for _, m := range some[:max(int(shortShare*float64(len(some))), 1)] {
+			m.short = true
 		}
 	}
-	return short
 }
 
-type rankedUpstream struct {
-	rank uint64
-	id   route.UpstreamID
-}
+// shortRank is the same at all gateways, so that they keep the same engines.
+func shortRank(m *member) uint64 { return xxhash.Sum64String("short/" + string(m.upstream.ID)) }
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -37,7 +37,6 @@
 	// Seed spreads what gateways would else do at the same moment.
 	Seed uint64
 
-	view     *route.View
 	members  map[route.UpstreamID]*member
 	waiting  []*asked
 	placed   map[Ticket]*placed
@@ -60,9 +59,8 @@
 
 // placed is a request at an upstream.
 type placed struct {
-	member  *member
-	request Request
-	sent    time.Time
+	member *member
+	sent   time.Time
 	// expected is when the answer is expected to begin, after sent.
 	expected time.Duration
 	uncached int
@@ -98,13 +96,11 @@
 		c.members = make(map[route.UpstreamID]*member)
 		c.placed = make(map[Ticket]*placed)
 		c.heard = make(map[string]heardLoads)
-		c.view = &route.View{}
 	}
 }
 
 // publish takes over a view. An upstream that started again is a new one.
 func (c *Core) publish(now time.Time, v *route.View) {
-	c.view = v
 	present := make(map[route.UpstreamID]bool, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		present[u.ID] = true
@@ -120,6 +116,7 @@
 			delete(c.members, id)
 		}
 	}
+	c.assignShort()
 }
 
 // begin notes that an answer began.
@@ -130,6 +127,7 @@
 	}
 	p.begun = true
 	p.member.waitingTokens -= p.uncached
+	delete(p.member.unanswered, t)
 	p.member.learnSpeed(now.Sub(p.sent), p.expected)
 }
 
@@ -144,7 +142,6 @@
 	m := p.member
 	m.inFlight--
 	m.memory -= p.memory
-	delete(m.unanswered, t)
 	if avoid := m.learnOutcome(now, o); avoid > 0 {
 		return []Effect{Avoided{m.upstream.ID, avoid, o}}
 	}
@@ -220,7 +217,7 @@
 }
 
 func (c *Core) place(now time.Time, a *asked, m *member, expected time.Duration) {
-	p := &placed{member: m, request: a.request, sent: now, expected: expected}
+	p := &placed{member: m, sent: now, expected: expected}
 	p.uncached = m.cache.missing(a.request.Prompt)
 	p.memory = p.uncached + a.request.OutputTokens
 	m.inFlight++
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -31,12 +31,15 @@
 	upstream route.Upstream
 	service  *route.Service
 	out      bool
+	// short says that the engine is kept for short prompts.
+	short bool
 
 	inFlight      int
 	waitingTokens int
 	memory        int
-	unanswered    map[Ticket]*placed
-	cache         *partCache
+	// unanswered are the requests whose answer has not begun.
+	unanswered map[Ticket]*placed
+	cache      *partCache
 
 	// slow is the running mean of the time to an answer's begin against the
 	// expected one.
@@ -87,15 +90,16 @@
 	}
 }
 
-// cold says whether the upstream is cold, and bears a request of this gateway.
-func (m *member) cold(now time.Time, divisor float64) (cold, bears bool) {
+// bears says that the upstream is warm, or bears a request of this gateway while
+// it is cold.
+func (m *member) bears(now time.Time, divisor float64) bool {
 	if !now.Before(m.coldUntil) || m.service == nil || m.service.ColdRate <= 0 {
-		return false, true
+		return true
 	}
 	rate := m.service.ColdRate / divisor
 	m.coldLeft = min(m.coldLeft+rate*now.Sub(m.coldAt).Seconds(), 1)
 	m.coldAt = now
-	return true, m.coldLeft >= 1
+	return m.coldLeft >= 1
 }
 
 func (m *member) spendCold() { m.coldLeft-- }
--- a/internal/process/admin.go
+++ b/internal/process/admin.go
@@ -18,9 +18,14 @@
 
 // administered is a program's part of the admin listener.
 type administered interface {
+	refusalCounter
 	// Ready gives result.OK if the program takes work.
 	Ready() result.Code
 	WriteMetrics(w io.Writer)
+}
+
+// refusalCounter is a program that counts refusals.
+type refusalCounter interface {
 	// CountRefusal counts what was refused before it reached the program.
 	CountRefusal(code result.Code)
 }
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/fx"
 
 	"jasminewing.dev/jasminewing/internal/catalog"
@@ -100,7 +101,7 @@
 
 func (p *Direct) desk(inc fleet.Incarnation) *placement.Desk {
 	return &placement.Desk{
-		Core:   placement.Core{DataCentre: p.DataCentre, Seed: seedOf(inc)},
+		Core:   placement.Core{DataCentre: p.DataCentre, Seed: xxhash.Sum64String(string(inc))},
 		Budget: placement.Budget{Bounds: p.Repeats},
 		Log:    p.Log,
 	}
@@ -169,17 +170,13 @@
 			return nil
 		},
 	})
-	server := &wire.Server{Secret: p.Secret, Gateways: t}
-	server.Refused = func(remote string, err error) {
-		p.Log.WriteThrottled(event.PeerRefused, remote, "code", int(result.CodeOf(err)), "error", err)
-	}
+	servePeers(lc, gr, l.peers, &wire.Server{Secret: p.Secret, Gateways: t}, g, p.Log)
 	lc.Append(fx.StartHook(func() {
 		gr.run(k.Run)
 		gr.run(c.Run)
 		gr.run(t.Run)
 		gr.run(p.watchLog)
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, k) })
-		gr.run(func(ctx context.Context) error { return server.Serve(ctx, l.peers) })
 	}))
 	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
 	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g)))
@@ -273,15 +270,6 @@
 	g.Settle(ctx, quietTime)
 }
 
-// seedOf makes a number of an incarnation.
-func seedOf(inc fleet.Incarnation) uint64 {
-	var n uint64
-	for _, b := range []byte(inc) {
-		n = n*131 + uint64(b)
-	}
-	return n
-}
-
 // directSuspects asks the book of suspects by fingerprint alone.
 type directSuspects struct{ book *suspect.Book }
 
@@ -291,11 +279,7 @@
 	return err != nil
 }
 
-// Died tells that an upstream ended while it ran requests.
-func (s directSuspects) Died(now time.Time, u route.UpstreamID, fs []suspect.Fingerprint) {
-	offers := make([]*wire.Offer, 0, len(fs))
-	for _, f := range fs {
-		offers = append(offers, &wire.Offer{Fingerprint: []byte(f)})
-	}
-	s.book.Died(now, fleet.Incarnation(u), offers)
+// Died tells that an upstream ended while it ran a request.
+func (s directSuspects) Died(now time.Time, u route.UpstreamID, f suspect.Fingerprint) {
+	s.book.Died(now, fleet.Incarnation(u), []*wire.Offer{{Fingerprint: []byte(f)}})
 }
