Fetch prompt parts from the engine that holds them

The load feeds itself.

Change: placement names the engine that holds most of the shared parts as far as it knows, the first choice if it knows none; the upstream is told its address. What is fetched counts neither as tokens to read nor as read again.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -77,6 +77,9 @@
 	Priority route.Priority
 	// After resumes a stream after this event; empty to start it.
 	After string
+	// Source is the address of an engine from which the upstream may fetch the
+	// memory of prompt parts; empty for none.
+	Source string
 }
 
 // Reply is what the head of an upstream's answer says.
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -76,6 +76,7 @@
 		Left:     time.Until(o.call.deadline),
 		Priority: o.call.route.PriorityOf(o.call.account),
 		After:    o.call.After,
+		Source:   o.grant.Source,
 	}
 	if o.last != "" {
 		s.After = o.last
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,6 +31,8 @@
 	// more requests leave for others: the load then feeds itself.
 	farCost   = 5 * time.Millisecond
 	againCost = 1500 * time.Millisecond
+	// fetchCost is what it costs to fetch a thousand tokens from their holder.
+	fetchCost = 1200 * time.Millisecond
 	// secondCost is the part of againCost that counts at the second choice for a
 	// prompt, where all gateways go first when the first choice is busy.
 	secondCost = 0.6
@@ -56,29 +58,52 @@
 	memoryShare = 0.9
 )
 
-// choose gives the best upstream that can take a request now, and the time in
-// which its answer is expected to begin; nil if there is none.
-func (c *Core) choose(now time.Time, r *Request) (*member, time.Duration) {
+// choice is an upstream for a request.
+type choice struct {
+	// member is nil if there is none.
+	member *member
+	// expected is the time in which the answer is expected to begin.
+	expected time.Duration
+	// holder is the engine to fetch prompt parts from; nil for none.
+	holder *member
+	// reads and fetched are the prompt tokens that the upstream has to read and
+	// to fetch.
+	reads, fetched int
+}
+
+func (ch choice) source() string {
+	if ch.holder == nil {
+		return ""
+	}
+	return ch.holder.upstream.Address
+}
+
+// choose gives the best upstream that can take a request now.
+func (c *Core) choose(now time.Time, r *Request) choice {
+	var best choice
 	if r.Deadline.Sub(now) < leastLeft {
-		return nil, 0
+		return best
 	}
-	p := c.prefer(r)
-	var best *member
-	var least, expected time.Duration
+	p := c.prefer(now, r)
+	var least time.Duration
 	for _, m := range c.members {
 		if !m.allowed(r.Service) {
 			continue
 		}
-		w := c.workOf(now, m, r)
+		w := c.workOf(now, m, r, p)
 		if !c.usable(now, m, r, w) {
 			continue
 		}
 		wait, cost := c.cost(now, m, r, p, w)
-		if best == nil || cost < least || cost == least && m.upstream.ID < best.upstream.ID {
-			best, least, expected = m, cost, wait
+		if best.member == nil || cost < least || cost == least && m.upstream.ID < best.member.upstream.ID {
+			least = cost
+			best = choice{member: m, expected: wait, reads: w.reads, fetched: w.fetched}
+			if m != p.holder && m.service.Engine != nil && m.service.Engine.Fetches() {
+				best.holder = p.holder
+			}
 		}
 	}
-	return best, expected
+	return best
 }
 
 // allowed says that the upstream may get requests of a service at all.
@@ -90,15 +115,22 @@
 // would read for one request more.
 type work struct {
 	Load
-	missing int
+	// reads and fetched are the prompt tokens of the request that the upstream
+	// would read, and fetch from the holder.
+	reads, fetched int
 }
 
-func (c *Core) workOf(now time.Time, m *member, r *Request) work {
+func (c *Core) workOf(now time.Time, m *member, r *Request, p preference) work {
 	sum := c.others(now, m.upstream.ID)
 	sum.InFlight += m.inFlight
 	sum.WaitingTokens += m.waitingTokens
 	sum.MemoryTokens += m.memory
-	return work{sum, m.cache.missing(r.Prompt)}
+	w := work{Load: sum, reads: m.cache.missing(r.Prompt)}
+	if e := m.service.Engine; e != nil && e.Fetches() && p.holder != nil && m != p.holder {
+		w.fetched = max(w.reads-p.lacking, 0)
+		w.reads -= w.fetched
+	}
+	return w
 }
 
 // usable says that an allowed upstream may get the request now.
@@ -114,7 +146,7 @@
 		return w.InFlight < max(m.upstream.Slots, 1)+plainQueue
 	}
 	return w.InFlight < e.Batch &&
-		(w.InFlight == 0 || float64(w.MemoryTokens+w.missing+r.OutputTokens) <= memoryShare*float64(e.MemoryTokens))
+		(w.InFlight == 0 || float64(w.MemoryTokens+w.reads+w.fetched+r.OutputTokens) <= memoryShare*float64(e.MemoryTokens))
 }
 
 // others sums what other gateways have in flight at an upstream.
@@ -140,8 +172,11 @@
 		// Among free upstreams, the one with the fewest requests.
 		cost = time.Millisecond * time.Duration(w.InFlight)
 	} else {
-		wait = firstTime + reading(w.missing, p.tokens) + reading(w.WaitingTokens, 0)
-		cost = engineCost(m, r, p)
+		wait = firstTime + reading(w.reads, p.tokens) + reading(w.WaitingTokens, 0)
+		if w.fetched > 0 {
+			wait += m.service.Engine.FetchTime(w.fetched)
+		}
+		cost = engineCost(m, r, p, w)
 	}
 	wait = time.Duration(float64(wait)*m.slow) + m.overdue(now)
 	cost += wait + time.Duration(lateCost*max(float64(wait)-lateFrom*float64(r.Objective), 0))
@@ -154,10 +189,11 @@
 
 // engineCost gives what others pay for the choice of an engine: parts that are
 // read again, and streams that a long prompt delays.
-func engineCost(m *member, r *Request, p preference) time.Duration {
+func engineCost(m *member, r *Request, p preference, w work) time.Duration {
 	var cost time.Duration
 	if m.upstream.ID != p.first {
-		cost = againCost * time.Duration(m.cache.missing(r.Prompt[:max(len(r.Prompt)-1, 0)])) / 1000
+		again := m.cache.missing(shared(r.Prompt)) - w.fetched
+		cost = againCost*time.Duration(max(again, 0))/1000 + fetchCost*time.Duration(w.fetched)/1000
 	}
 	if m.upstream.ID == p.second {
 		cost = time.Duration(secondCost * float64(cost))
@@ -202,14 +238,57 @@
 	// tokens are those of the prompt; short says that they are few.
 	tokens int
 	short  bool
+	// holder is the engine that holds most of the shared parts as far as this
+	// gateway knows; nil for none. lacking are the tokens that it would read.
+	holder  *member
+	lacking int
 }
 
-func (c *Core) prefer(r *Request) preference {
+// shared gives the parts of a prompt that requests share: all but the last.
+func shared(prompt []Part) []Part { return prompt[:max(len(prompt)-1, 0)] }
+
+func (c *Core) prefer(now time.Time, r *Request) preference {
 	p := preference{tokens: total(r.Prompt)}
 	p.short = p.tokens <= shortPrompt
 	if len(r.Prompt) == 0 {
 		return p
 	}
+	c.rank(r, &p)
+	c.findHolder(now, r, &p)
+	return p
+}
+
+// findHolder looks for an engine that others can fetch shared parts from. The
+// first choice is taken to hold what gateways sent there, if none is known to.
+func (c *Core) findHolder(now time.Time, r *Request, p *preference) {
+	parts := shared(r.Prompt)
+	if len(parts) == 0 {
+		return
+	}
+	all := total(parts)
+	most := 0
+	for _, m := range c.members {
+		if !m.gives(now, r.Service) {
+			continue
+		}
+		held := all - m.cache.missing(parts)
+		if held > most || held == most && held > 0 && m.upstream.ID == p.first {
+			p.holder, most = m, held
+		}
+	}
+	p.lacking = p.tokens - most
+	if first := c.members[p.first]; p.holder == nil && first != nil && first.gives(now, r.Service) {
+		p.holder = first
+	}
+}
+
+// gives says that others may fetch from the engine.
+func (m *member) gives(now time.Time, s route.ServiceName) bool {
+	return m.allowed(s) && !now.Before(m.avoided) && m.overdue(now) <= 0
+}
+
+// rank finds the first and second choice for a prompt.
+func (c *Core) rank(r *Request, p *preference) {
 	// The part before the last is the most specific that requests share.
 	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
 	var most, next uint64
@@ -226,7 +305,6 @@
 			p.second, next = id, h
 		}
 	}
-	return p
 }
 
 // assignShort keeps engines for short prompts: shortShare of each service's in a
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -175,10 +175,9 @@
 // decide gives the effect for one that waits; nil to wait on.
 func (c *Core) decide(now time.Time, a *asked) Effect {
 	r := &a.request
-	m, expected := c.choose(now, r)
-	if m != nil {
-		c.place(now, a, m, expected)
-		return Grant{a.ticket, m.upstream, expected}
+	if ch := c.choose(now, r); ch.member != nil {
+		c.place(now, a, ch)
+		return Grant{a.ticket, ch.member.upstream, ch.expected, ch.source()}
 	}
 	patience := time.Duration(waitShare * float64(r.Objective))
 	if now.Sub(a.since) >= patience || r.Deadline.Sub(now) < leastLeft {
@@ -216,10 +215,11 @@
 	return xxhash.Sum64(b[:])
 }
 
-func (c *Core) place(now time.Time, a *asked, m *member, expected time.Duration) {
-	p := &placed{member: m, sent: now, expected: expected}
-	p.uncached = m.cache.missing(a.request.Prompt)
-	p.memory = p.uncached + a.request.OutputTokens
+func (c *Core) place(now time.Time, a *asked, ch choice) {
+	m := ch.member
+	p := &placed{member: m, sent: now, expected: ch.expected}
+	p.uncached = ch.reads
+	p.memory = ch.reads + ch.fetched + a.request.OutputTokens
 	m.inFlight++
 	m.memory += p.memory
 	m.waitingTokens += p.uncached
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -97,6 +97,47 @@
 	assert.Assert(t, places[59] != places[0], "a queue of 60 drafts is kept at one engine")
 }
 
+// A prompt that goes to another engine than the one that holds its parts names
+// that engine, which is then not asked to read them again; one that stays does not.
+func TestPartsAreFetchedFromTheirHolder(t *testing.T) {
+	v := engines(12)
+	v.Table.Services[0].Engine.TokenBytes, v.Table.Services[0].Engine.LinkBits = 35_136, 180e9
+	c := newCore(v, 5)
+	var holder route.Upstream
+	left := 0
+	for n := range Ticket(60) {
+		for _, e := range c.Handle(start, Ask{n, draft(1, PartID(n))}) {
+			g := e.(Grant)
+			switch {
+			case n == 0:
+				holder = g.Upstream
+				assert.Equal(t, g.Source, "", "there is nobody to fetch from")
+			case g.Upstream.ID == holder.ID:
+				assert.Equal(t, g.Source, "")
+			default:
+				left++
+				assert.Assert(t, g.Source != "" && g.Source != g.Upstream.Address, "request %d", n)
+				assert.Equal(t, c.placed[n].uncached, 3_700, "parts to fetch are counted as to be read")
+			}
+		}
+	}
+	assert.Assert(t, left > 0, "no request left the holder")
+}
+
+// Nothing is fetched from an engine whose answers fail to come.
+func TestNothingIsFetchedFromASilentEngine(t *testing.T) {
+	v := engines(3)
+	v.Table.Services[0].Engine.TokenBytes, v.Table.Services[0].Engine.LinkBits = 35_136, 180e9
+	c := newCore(v, 5)
+	first := ask(t, c, start, 1, draft(1, 1))
+	now := start.Add(5 * time.Second)
+	r := draft(1, 2)
+	r.Tried, r.Deadline = []route.UpstreamID{first}, now.Add(5*time.Second)
+	for _, e := range c.Handle(now, Ask{2, r}) {
+		assert.Assert(t, e.(Grant).Source != c.members[first].upstream.Address)
+	}
+}
+
 // Short questions and long drafts meet at no engine while there is room.
 func TestShortPromptsHaveTheirEngines(t *testing.T) {
 	c := newCore(engines(12), 5)
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -147,6 +147,9 @@
 	Upstream route.Upstream
 	// Expected is the time in which the answer is expected to begin.
 	Expected time.Duration
+	// Source is the address of an engine that holds parts of the prompt which the
+	// upstream lacks; empty for none.
+	Source string
 }
 
 // Refuse ends a request that has not been sent.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -78,6 +78,17 @@
 	Batch int
 	// MemoryTokens bounds the tokens of running requests and cached prompt parts.
 	MemoryTokens int
+	// TokenBytes is the memory of a token, and LinkBits the bits a second at which
+	// engines fetch memory from each other; zero where they cannot.
+	TokenBytes, LinkBits float64
+}
+
+// Fetches says that an engine can fetch the memory of prompt parts from another.
+func (e *Engine) Fetches() bool { return e.TokenBytes > 0 && e.LinkBits > 0 }
+
+// FetchTime is how long the memory of some tokens is under way.
+func (e *Engine) FetchTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * e.TokenBytes * 8 / e.LinkBits * float64(time.Second))
 }
 
 // Service is a group of upstreams that serve the same.
