Deal out the rate of a cold upstream by turns

Ruled out: allowances that start empty: they fill within seconds at all gateways and are then spent together.

Change: gateways have turns in every period, in the order of their ranks in the roster, and send one request at most in a turn; how long a turn is open follows from the bound in the settings (coldFactor, coldSlack). Bounds of rules that are not in force may now be missing in the settings.

Tests: placement.TestColdRateIsShared plays 1 to 350 gateways and was red at 27 and 350 (allowances) and at 350 (a window of a tenth of a period); roster.TestRanks; platform.TestSettingsWithoutBounds. The tests of the cold rate hold the stated bound for any second, where they held the sum of one second. TestEngineThatStartedAgainIsCold counts sends over two seconds, as the first may now have to wait for its turn.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,7 +135,7 @@
 
 // usable says that an allowed upstream may get the request now.
 func (c *Core) usable(now time.Time, m *member, r *Request, w work) bool {
-	if now.Before(m.avoided) || slices.Contains(r.Tried, m.upstream.ID) || !m.bears(now, c.divisor()) {
+	if now.Before(m.avoided) || slices.Contains(r.Tried, m.upstream.ID) || !m.bears(now, c.coldTurns()) {
 		return false
 	}
 	if connections := m.service.MaxConnections; connections > 0 && float64(m.inFlight) >= float64(connections)/c.divisor() {
@@ -253,7 +253,7 @@
 	if len(r.Prompt) == 0 {
 		return p
 	}
-	c.rank(r, &p)
+	c.order(r, &p)
 	c.findHolder(now, r, &p)
 	return p
 }
@@ -287,8 +287,8 @@
 	return m.allowed(s) && !now.Before(m.avoided) && m.overdue(now) <= 0
 }
 
-// rank finds the first and second choice for a prompt.
-func (c *Core) rank(r *Request, p *preference) {
+// order finds the first and second choice for a prompt.
+func (c *Core) order(r *Request, p *preference) {
 	// The part before the last is the most specific that requests share.
 	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
 	var most, next uint64
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -36,13 +36,16 @@
 	DataCentre route.DataCentre
 	// Seed spreads what gateways would else do at the same moment.
 	Seed uint64
+	// Cold bounds what a cold upstream gets from all gateways.
+	Cold ColdBounds
 
-	members  map[route.UpstreamID]*member
-	waiting  []*asked
-	placed   map[Ticket]*placed
-	heard    map[string]heardLoads
-	gateways int
-	draws    uint64
+	members map[route.UpstreamID]*member
+	waiting []*asked
+	placed  map[Ticket]*placed
+	heard   map[string]heardLoads
+	// gateways is the number of gateways, rank this one's among them.
+	gateways, rank int
+	draws          uint64
 }
 
 type heardLoads struct {
@@ -86,7 +89,7 @@
 	case Heard:
 		c.heard[m.Gateway] = heardLoads{now, m.Loads}
 	case Gateways:
-		c.gateways = m.Count
+		c.gateways, c.rank = m.Count, m.Rank
 	}
 	return append(out, c.serve(now)...)
 }
@@ -225,7 +228,7 @@
 	m.waitingTokens += p.uncached
 	m.unanswered[a.ticket] = p
 	m.cache.add(a.request.Prompt)
-	m.spendCold()
+	m.spendCold(now, c.coldTurns())
 	c.placed[a.ticket] = p
 }
 
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -50,9 +50,8 @@
 	avoided time.Time
 
 	coldUntil time.Time
-	coldAt    time.Time
-	// coldLeft are the requests that this gateway may send now to it while cold.
-	coldLeft float64
+	// coldTurn is this gateway's turn in which it sent last while it was cold.
+	coldTurn int64
 }
 
 // publish takes over what is published of the upstream.
@@ -83,27 +82,10 @@
 // chill marks the upstream as cold for a time.
 func (m *member) chill(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(m.coldUntil) {
-		if !now.Before(m.coldUntil) {
-			m.coldAt, m.coldLeft = now, 1
-		}
 		m.coldUntil = until
 	}
 }
 
-// bears says that the upstream is warm, or bears a request of this gateway while
-// it is cold.
-func (m *member) bears(now time.Time, divisor float64) bool {
-	if !now.Before(m.coldUntil) || m.service == nil || m.service.ColdRate <= 0 {
-		return true
-	}
-	rate := m.service.ColdRate / divisor
-	m.coldLeft = min(m.coldLeft+rate*now.Sub(m.coldAt).Seconds(), 1)
-	m.coldAt = now
-	return m.coldLeft >= 1
-}
-
-func (m *member) spendCold() { m.coldLeft-- }
-
 // learnSpeed takes the time to an answer's begin.
 func (m *member) learnSpeed(took, expected time.Duration) {
 	if expected <= 0 {
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -86,8 +86,9 @@
 	Loads   map[route.UpstreamID]Load
 }
 
-// Gateways says how many gateways there are, this one included.
-type Gateways struct{ Count int }
+// Gateways says how many gateways there are, this one included, and which of
+// them it is, from 0, in an order that all agree on.
+type Gateways struct{ Count, Rank int }
 
 // Ticked lets time pass for those who wait.
 type Ticked struct{}
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -62,6 +62,7 @@
 	Memory    int64
 	StopLimit time.Duration
 	Repeats   placement.RepeatBounds
+	Cold      placement.ColdBounds
 
 	Store     catalog.Store
 	Decode    func(key string, value []byte) (any, error)
@@ -101,7 +102,7 @@
 
 func (p *Direct) desk(inc fleet.Incarnation) *placement.Desk {
 	return &placement.Desk{
-		Core:   placement.Core{DataCentre: p.DataCentre, Seed: xxhash.Sum64String(string(inc))},
+		Core:   placement.Core{DataCentre: p.DataCentre, Seed: xxhash.Sum64String(string(inc)), Cold: p.Cold},
 		Budget: placement.Budget{Bounds: p.Repeats},
 		Log:    p.Log,
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -136,7 +136,7 @@
 		p.calling, p.asked = true, now
 		go t.call(ctx, address)
 	}
-	t.Desk.Tell(placement.Gateways{Count: t.counted(now)})
+	t.Desk.Tell(t.counted(now))
 }
 
 // due gives the gateways to call now: those that were asked longest ago.
@@ -166,15 +166,18 @@
 	}
 }
 
-// counted gives the number of gateways that may be sending, with this one.
-func (t *Task) counted(now time.Time) int {
-	n := 1
-	for _, p := range t.peers {
+// counted gives the gateways that may be sending, in the order of addresses.
+func (t *Task) counted(now time.Time) placement.Gateways {
+	g := placement.Gateways{Count: 1}
+	for address, p := range t.peers {
 		if !p.heard.IsZero() && now.Sub(p.heard) < forgetAfter {
-			n++
+			g.Count++
+			if address < t.Self {
+				g.Rank++
+			}
 		}
 	}
-	return n
+	return g
 }
 
 func (t *Task) call(ctx context.Context, address string) {
