Tell each gateway of a suspect once, and of loads in fewer bytes and more often

Cause: every exchange between gateways told all suspects, up to 4,096 marks for ten minutes.

Change: suspicions carry numbers of change, and each gateway says what it has; loads are lists of numbers by a hash of the upstream's id, ids of gateways are told each 4 s; twelve exchanges an interval; news asks for a round each 50 ms at most.

Tests: roster.TestSuspicionsAreToldOnce (red: a gateway that started anew took a part for the whole), roster.TestLostAnswerIsToldAgain, suspect.TestShareSince.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -121,7 +121,7 @@
 }
 
 func (c *Core) workOf(now time.Time, m *member, r *Request, p preference) work {
-	sum := c.others(now, m.upstream.ID)
+	sum := c.others(now, m.key)
 	sum.InFlight += m.inFlight
 	sum.WaitingTokens += m.waitingTokens
 	sum.MemoryTokens += m.memory
@@ -150,13 +150,13 @@
 }
 
 // others sums what other gateways have in flight at an upstream.
-func (c *Core) others(now time.Time, id route.UpstreamID) Load {
+func (c *Core) others(now time.Time, key LoadKey) Load {
 	var sum Load
 	for _, h := range c.heard {
 		if now.Sub(h.at) > heardFor {
 			continue
 		}
-		l := h.loads[id]
+		l := h.loads[key]
 		sum.InFlight += l.InFlight
 		sum.WaitingTokens += l.WaitingTokens
 		sum.MemoryTokens += l.MemoryTokens
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -50,7 +50,7 @@
 
 type heardLoads struct {
 	at    time.Time
-	loads map[route.UpstreamID]Load
+	loads map[LoadKey]Load
 }
 
 // asked is a request that waits.
@@ -109,7 +109,7 @@
 		present[u.ID] = true
 		held := c.members[u.ID]
 		if held == nil || held.upstream.Born != u.Born || held.upstream.Address != u.Address {
-			held = &member{cache: newPartCache()}
+			held = &member{cache: newPartCache(), key: LoadKeyOf(u.ID)}
 			c.members[u.ID] = held
 		}
 		held.publish(now, u, v)
@@ -233,11 +233,11 @@
 }
 
 // Loads gives what this gateway has in flight, for the others.
-func (c *Core) Loads() map[route.UpstreamID]Load {
-	out := make(map[route.UpstreamID]Load)
-	for id, m := range c.members {
+func (c *Core) Loads() map[LoadKey]Load {
+	out := make(map[LoadKey]Load)
+	for _, m := range c.members {
 		if m.inFlight > 0 {
-			out[id] = Load{m.inFlight, m.waitingTokens, m.memory}
+			out[m.key] = Load{m.inFlight, m.waitingTokens, m.memory}
 		}
 	}
 	return out
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -146,7 +146,7 @@
 }
 
 // Loads gives what is in flight here, for other gateways.
-func (d *Desk) Loads() map[route.UpstreamID]Load {
+func (d *Desk) Loads() map[LoadKey]Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.Core.Loads()
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -29,6 +29,7 @@
 // member is an upstream as this gateway knows it.
 type member struct {
 	upstream route.Upstream
+	key      LoadKey
 	service  *route.Service
 	out      bool
 	// short says that the engine is kept for short prompts.
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -22,6 +22,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -83,9 +85,16 @@
 // Heard is what another gateway has in flight.
 type Heard struct {
 	Gateway string
-	Loads   map[route.UpstreamID]Load
+	Loads   map[LoadKey]Load
 }
 
+// LoadKey names an upstream in what gateways tell each other: a hash of its id.
+// Two upstreams with one key would each seem to have the load of both.
+type LoadKey uint32
+
+// LoadKeyOf gives the key of an upstream.
+func LoadKeyOf(id route.UpstreamID) LoadKey { return LoadKey(xxhash.Sum64String(string(id))) }
+
 // Gateways says how many gateways there are, this one included, and which of
 // them it is, from 0, in an order that all agree on.
 type Gateways struct{ Count, Rank int }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,16 +33,25 @@
 	interval = 400 * time.Millisecond
 	// callTimeout bounds an exchange.
 	callTimeout = 500 * time.Millisecond
-	// callsARound bounds the exchanges that a gateway begins in an interval: with
-	// 350 gateways each would else spend more than its 24 KB a second on them.
-	callsARound = 4
+	// callsARound bounds the exchanges that a gateway begins in an interval. With
+	// as many that others begin, each of some 25 gateways hears of all others in an
+	// interval; with 350 they take a half of the 24 KB a second that a node may
+	// spend for control.
+	callsARound = 12
+	// spreadPause is the least time between two rounds that news asked for: a
+	// crash brings many at once.
+	spreadPause = 50 * time.Millisecond
 	// silentRounds is how many times the usual time between two exchanges a
 	// gateway may say nothing before it counts as silent.
 	silentRounds = 5
 	// silentInterval is the time between two calls to a silent gateway.
 	silentInterval = 2 * time.Second
-	// namesTold is the most addresses of other gateways in an exchange.
-	namesTold = 16
+	// namesTold is the most addresses of other gateways in an exchange, and
+	// namesInterval the time between two exchanges with a gateway that have any.
+	namesTold     = 16
+	namesInterval = 4 * time.Second
+	// loadStep is the number of tokens in which loads are told.
+	loadStep = 256
 	// forgetAfter is when a silent gateway ceases to count in shares of bounds of
 	// the fleet: one that is cut off may go on sending until then.
 	forgetAfter = 2 * time.Minute
@@ -51,7 +60,7 @@
 // Desk is told what other gateways have in flight.
 type Desk interface {
 	Tell(placement.Message)
-	Loads() map[route.UpstreamID]placement.Load
+	Loads() map[placement.LoadKey]placement.Load
 }
 
 // Catalog is told what revision others know, and gives its own state.
@@ -89,6 +98,12 @@
 	asked   time.Time
 	calling bool
 	silent  bool
+	// named is when it was last told of other gateways.
+	named       time.Time
+	incarnation string
+	// have is the number of its latest change of a suspicion that is known here,
+	// acknowledged that of ours that it knows.
+	have, acknowledged uint64
 }
 
 // Run exchanges until ctx ends.
@@ -100,11 +115,18 @@
 	defer ticker.Stop()
 	for {
 		t.round(ctx, time.Now())
+		began := time.Now()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-t.now:
+			pause := time.NewTimer(spreadPause - time.Since(began))
+			select {
+			case <-ctx.Done():
+			case <-pause.C:
+			}
+			pause.Stop()
 		}
 	}
 }
@@ -183,7 +205,7 @@
 func (t *Task) call(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	state, err := wire.NewDRPCGatewaysClient(t.Dialer.To(address)).Tell(ctx, t.state(time.Now()))
+	state, err := wire.NewDRPCGatewaysClient(t.Dialer.To(address)).Tell(ctx, t.state(time.Now(), address))
 	t.mu.Lock()
 	t.peers[address].calling = false
 	t.mu.Unlock()
@@ -192,26 +214,28 @@
 	}
 }
 
-// state is what this gateway tells.
-func (t *Task) state(now time.Time) *wire.GatewayState {
+// state is what this gateway tells another.
+func (t *Task) state(now time.Time, to string) *wire.GatewayState {
 	s := &wire.GatewayState{
 		Address:     t.Self,
 		DataCentre:  string(t.DataCentre),
 		Incarnation: string(t.Incarnation),
 		Revision:    uint64(t.Catalog.Revision()),
-		Suspicions:  t.Suspects.Share(now),
-	}
-	loads := t.Desk.Loads()
-	for _, id := range slices.Sorted(maps.Keys(loads)) {
-		l := loads[id]
-		s.Loads = append(s.Loads, &wire.UpstreamLoad{
-			Upstream: string(id), InFlight: uint32(l.InFlight),
-			WaitingTokens: uint32(max(l.WaitingTokens, 0)), MemoryTokens: uint32(max(l.MemoryTokens, 0)),
-		})
+		Loads:       wordLoads(t.Desk.Loads()),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s.Gateways = t.names()
+	p := t.peers[to]
+	if p == nil {
+		return s
+	}
+	s.SuspicionSince = p.acknowledged
+	s.Suspicions, s.SuspicionChange = t.Suspects.News(now, p.acknowledged)
+	s.SuspicionHave, s.SuspicionIncarnation = p.have, p.incarnation
+	if now.Sub(p.named) >= namesInterval {
+		p.named = now
+		s.Gateways = t.names()
+	}
 	return s
 }
 
@@ -241,7 +265,7 @@
 	t.meet(s.Address)
 	p := t.peers[s.Address]
 	news := p.heard.IsZero() || p.silent
-	p.heard, p.silent = now, false
+	p.hear(now, s, string(t.Incarnation))
 	for _, address := range s.Gateways {
 		t.meet(address)
 	}
@@ -249,17 +273,27 @@
 	if news {
 		t.Log.Write(event.GatewayHeard, "gateway", s.Address, "data_centre", s.DataCentre, "incarnation", s.Incarnation)
 	}
-	loads := make(map[route.UpstreamID]placement.Load, len(s.Loads))
-	for _, l := range s.Loads {
-		loads[route.UpstreamID(l.Upstream)] = placement.Load{
-			InFlight: int(l.InFlight), WaitingTokens: int(l.WaitingTokens), MemoryTokens: int(l.MemoryTokens),
-		}
-	}
-	t.Desk.Tell(placement.Heard{Gateway: s.Address, Loads: loads})
+	t.Desk.Tell(placement.Heard{Gateway: s.Address, Loads: readLoads(s.Loads)})
 	t.Suspects.Heard(now, s.Suspicions)
 	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision))
 }
 
+// hear notes what the peer says of itself, and of what it knows from this
+// incarnation of ours.
+func (p *peer) hear(now time.Time, s *wire.GatewayState, self string) {
+	p.heard, p.silent = now, false
+	if s.Incarnation != p.incarnation {
+		p.incarnation, p.have = s.Incarnation, 0
+	}
+	if s.SuspicionSince <= p.have {
+		p.have = max(p.have, s.SuspicionChange)
+	}
+	p.acknowledged = 0
+	if s.SuspicionIncarnation == self {
+		p.acknowledged = s.SuspicionHave
+	}
+}
+
 // Spread tells all gateways at once what is new; the channel is closed at once,
 // as nobody waits for that here.
 func (t *Task) Spread() <-chan struct{} {
@@ -278,7 +312,7 @@
 // Tell answers another gateway.
 func (t *Task) Tell(ctx context.Context, s *wire.GatewayState) (*wire.GatewayState, error) {
 	t.hear(ctx, s)
-	return t.state(time.Now()), nil
+	return t.state(time.Now(), s.Address), nil
 }
 
 // Fetch answers another gateway that knows less.
--- /dev/null
+++ b/internal/roster/session_test.go
@@ -0,0 +1,90 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/catalog"
+	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/wire"
+)
+
+// quietDesk has nothing in flight.
+type quietDesk struct{}
+
+func (quietDesk) Tell(placement.Message)                      {}
+func (quietDesk) Loads() map[placement.LoadKey]placement.Load { return nil }
+
+// emptyCatalog knows nothing.
+type emptyCatalog struct{}
+
+func (emptyCatalog) Heard(context.Context, string, catalog.Revision) {}
+func (emptyCatalog) Revision() catalog.Revision                      { return 0 }
+func (emptyCatalog) State(catalog.Revision) *wire.PublishedState     { return nil }
+
+func newGateway(n int, incarnation fleet.Incarnation) *Task {
+	return &Task{
+		Self: fmt.Sprintf("10.0.0.%d:1", n), Incarnation: incarnation,
+		Desk: quietDesk{}, Catalog: emptyCatalog{}, Suspects: &suspect.Book{},
+	}
+}
+
+// exchange lets one gateway call another, as over the wire; it gives the bytes
+// of question and answer.
+func exchange(t *testing.T, from, to *Task) int {
+	t.Helper()
+	question := from.state(time.Now(), to.Self)
+	answer, err := to.Tell(t.Context(), question)
+	assert.NilError(t, err)
+	from.hear(t.Context(), answer)
+	return proto.Size(question) + proto.Size(answer)
+}
+
+func known(g *Task) int { return len(g.Suspects.Share(time.Now())) }
+
+// What upstreams ended under is told once to each gateway, and all of it to one
+// that started anew; an exchange after that is as small as before.
+func TestSuspicionsAreToldOnce(t *testing.T) {
+	one, other := newGateway(1, "a"), newGateway(2, "b")
+	one.init()
+	one.meet(other.Self)
+	exchange(t, one, other)
+	quiet := exchange(t, one, other)
+	const deaths = 300
+	for n := range deaths {
+		one.Suspects.Died(time.Now(), "e1/1", []*wire.Offer{{Fingerprint: fmt.Appendf(nil, "%08d", n)}})
+	}
+	exchange(t, one, other)
+	assert.Equal(t, known(other), deaths)
+	exchange(t, one, other)
+	after := exchange(t, one, other)
+	assert.Assert(t, after < 2*quiet, "%d bytes, %d before", after, quiet)
+
+	again := newGateway(2, "c")
+	exchange(t, one, again)
+	exchange(t, again, one)
+	assert.Equal(t, known(again), deaths)
+	exchange(t, one, again)
+	assert.Equal(t, len(one.state(time.Now(), again.Self).Suspicions), 0)
+}
+
+// An answer that is lost is told again.
+func TestLostAnswerIsToldAgain(t *testing.T) {
+	one, other := newGateway(1, "a"), newGateway(2, "b")
+	one.init()
+	one.meet(other.Self)
+	exchange(t, one, other)
+	other.Suspects.Died(time.Now(), "e1/1", []*wire.Offer{{Fingerprint: []byte("killer")}})
+	_, err := other.Tell(t.Context(), one.state(time.Now(), other.Self))
+	assert.NilError(t, err)
+	assert.Equal(t, known(one), 0)
+	exchange(t, one, other)
+	assert.Equal(t, known(one), 1)
+}
--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -79,6 +79,15 @@
 	return b.Core.Share(now)
 }
 
+// News gives what came after the change of a number, and the number of the
+// latest.
+func (b *Book) News(now time.Time, change uint64) ([]*wire.Suspicion, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Core.Handle(now, Ticked{})
+	return b.Core.ShareSince(now, change), b.Core.Changes()
+}
+
 // Heard takes what a peer shared.
 func (b *Book) Heard(now time.Time, s []*wire.Suspicion) {
 	if len(s) > 0 {
--- a/internal/suspect/core.go
+++ b/internal/suspect/core.go
@@ -64,6 +64,9 @@
 	MaxMarks int
 
 	marks map[markKey]mark
+	// changes is the number of the latest change here, changed that of each mark's.
+	changes uint64
+	changed map[markKey]uint64
 	// deaths indexes marks by request.
 	deaths map[Fingerprint][]fleet.Incarnation
 }
@@ -74,6 +77,7 @@
 	}
 	c.marks = make(map[markKey]mark)
 	c.deaths = make(map[Fingerprint][]fleet.Incarnation)
+	c.changed = make(map[markKey]uint64)
 	if c.Quarantine <= 0 {
 		c.Quarantine = DefaultQuarantine
 	}
@@ -119,10 +123,21 @@
 
 // Share gives all marks for peers, in a steady order. One that was cleared has
 // no deaths.
-func (c *Core) Share(now time.Time) []*wire.Suspicion {
-	keys := make([]markKey, 0, len(c.marks))
+func (c *Core) Share(now time.Time) []*wire.Suspicion { return c.ShareSince(now, 0) }
+
+// Changes gives the number of the latest change, for ShareSince.
+func (c *Core) Changes() uint64 { return c.changes }
+
+// ShareSince gives the marks that came or changed after the change of a number.
+// An upstream that dies may leave a hundred marks: whoever tells them to all
+// peers again and again spends more on them than on all else.
+func (c *Core) ShareSince(now time.Time, change uint64) []*wire.Suspicion {
+	if change >= c.changes {
+		return nil
+	}
+	var keys []markKey
 	for k, m := range c.marks {
-		if now.Sub(m.at) < c.Quarantine {
+		if c.changed[k] > change && now.Sub(m.at) < c.Quarantine {
 			keys = append(keys, k)
 		}
 	}
@@ -172,6 +187,8 @@
 	c.marks[k] = m
 	var out []Effect
 	if !ok || m.cleared != held.cleared {
+		c.changes++
+		c.changed[k] = c.changes
 		out = append(out, ShareNow{})
 	}
 	if deaths, _, refuse := c.Verdict(now, k.fingerprint); refuse && !refused {
@@ -226,6 +243,7 @@
 
 func (c *Core) drop(k markKey) {
 	delete(c.marks, k)
+	delete(c.changed, k)
 	left := slices.DeleteFunc(c.deaths[k.fingerprint], func(i fleet.Incarnation) bool { return i == k.incarnation })
 	if len(left) == 0 {
 		delete(c.deaths, k.fingerprint)
--- a/internal/suspect/core_test.go
+++ b/internal/suspect/core_test.go
@@ -118,3 +118,21 @@
 	assert.Equal(t, len(c.deaths), 100)
 	assert.Equal(t, verdict(c, start.Add(time.Second), last), "deaths 1, solo true, refuse false")
 }
+
+// A peer is told once of each change; of all if it has started anew.
+func TestShareSince(t *testing.T) {
+	c := &Core{}
+	c.Handle(start, Died{"e1/1", []Fingerprint{"a", "b"}})
+	first := c.Changes()
+	assert.Equal(t, len(c.ShareSince(start, 0)), 2)
+	assert.Equal(t, len(c.ShareSince(start, first)), 0)
+	c.Handle(start, Died{"e1/1", []Fingerprint{"a"}})
+	assert.Equal(t, c.Changes(), first, "what is known already is no change")
+	c.Handle(start, Died{"e2/1", []Fingerprint{"a"}})
+	c.Handle(start, Clean{"b"})
+	got := c.ShareSince(start, first)
+	assert.Equal(t, len(got), 2)
+	peer := &Core{}
+	peer.Handle(start, Heard{c.ShareSince(start, 0)})
+	assert.Equal(t, len(peer.Share(start)), 3)
+}
