Let three gateways watch the store closely, and the others rest on them

Change: the first three gateways that hear each other, in the order of addresses, watch for a second at a time, the others for six. A change ends any watch at once; whoever hears of a newer revision ends its own watch and asks again. Exchanges tell whether the store answers and has for long, so that a relaxed gateway that missed an outage keeps the entries that lapsed in it. A tenth of a second passes between an answer with changes and the next watch.

Tests: catalog.TestRelaxedWatch, catalog.TestRelaxedGatewayHearsOfAnOutage; both were seen red with Relax, and with Doubt, taken out.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -95,6 +95,10 @@
 	return !c.away && now.Sub(c.regained) >= LapseGrace
 }
 
+// Doubt notes that the store does not answer another gateway, or has not until
+// just now: this one may not have noticed.
+func (c *Core) Doubt(now time.Time) { c.regained = now }
+
 // Load takes a whole state as of a revision, unless it is older than what is
 // known. settled says that what it lacks is gone; else it may have lapsed.
 func (c *Core) Load(now time.Time, entries []Entry, at Revision, settled bool) []Fault {
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -17,6 +17,12 @@
 	// charged, but a watch that has gone silent shows only when its time is up,
 	// and changes must be in force within two seconds.
 	watchWait = time.Second
+	// relaxedWait is the same while enough other gateways watch closely and are
+	// heard from: one that misses a change hears of it from them.
+	relaxedWait = 6 * time.Second
+	// changePause is the time between an answer with changes and the next watch,
+	// as changes come in rows and each call is charged.
+	changePause = 100 * time.Millisecond
 	// answerTimeout bounds the store's answer beyond the time it may wait.
 	answerTimeout = 500 * time.Millisecond
 	// loadTimeout bounds the reading of everything, page by page.
@@ -58,6 +64,8 @@
 	fetching bool
 	// behindSince is when another gateway was first heard to know more.
 	behindSince time.Time
+	// relaxed says that others watch closely.
+	relaxed bool
 	// abort ends the watch that is waiting; aborted says that it did.
 	abort   context.CancelFunc
 	aborted bool
@@ -111,12 +119,16 @@
 	if !loaded {
 		return t.load(ctx)
 	}
-	watching, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
-	defer cancel()
 	t.mu.Lock()
+	wait := watchWait
+	if t.relaxed {
+		wait = relaxedWait
+	}
+	watching, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	defer cancel()
 	t.abort = cancel
 	t.mu.Unlock()
-	changes, now, err := t.Store.Watch(watching, at, watchWait)
+	changes, now, err := t.Store.Watch(watching, at, wait)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		t.Log.WriteThrottled(event.HistoryDropped, "store", "revision", uint64(at))
@@ -131,9 +143,31 @@
 	}
 	t.contact(nil)
 	t.apply(func(c *Core, clock time.Time) []Fault { return c.Change(clock, changes, now) })
+	if len(changes) > 0 {
+		sleep(ctx, changePause)
+	}
 	return nil
 }
 
+// Relax says whether enough others watch the store closely. A long watch that
+// waits when they cease to is ended, as nobody may tell that it has gone silent.
+func (t *Task) Relax(relaxed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.relaxed && !relaxed {
+		t.endWatch()
+	}
+	t.relaxed = relaxed
+}
+
+// endWatch ends the watch that is waiting, so that another begins.
+func (t *Task) endWatch() {
+	if t.abort != nil {
+		t.aborted = true
+		t.abort()
+	}
+}
+
 func (t *Task) wasAborted() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -207,11 +241,22 @@
 	})
 }
 
-// Heard is told what revision another gateway has.
-func (t *Task) Heard(ctx context.Context, address string, r Revision) {
+// Settled says that an entry that is missing is gone.
+func (t *Task) Settled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Settled(time.Now())
+}
+
+// Heard is told what revision another gateway has, and whether a missing entry
+// is gone as far as it knows.
+func (t *Task) Heard(ctx context.Context, address string, r Revision, settled bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if !settled && t.relaxed {
+		t.core.Doubt(now)
+	}
 	switch {
 	case r <= t.core.At():
 		t.behindSince = time.Time{}
@@ -223,10 +268,7 @@
 		return
 	}
 	t.fetching = true
-	if t.abort != nil {
-		t.aborted = true
-		t.abort()
-	}
+	t.endWatch()
 	go t.fetch(ctx, address)
 }
 
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -42,6 +42,13 @@
 	})
 }
 
+func (s *fakeStore) remove(key string) {
+	s.set(func() {
+		s.at++
+		s.entries = append(s.entries, Entry{Key: key, Revision: s.at, Deleted: true})
+	})
+}
+
 func (s *fakeStore) Range(context.Context) ([]Entry, Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,6 +129,64 @@
 	}
 }
 
+// A gateway that goes by others' watches makes few calls while nothing changes,
+// and yet has a change in force in time: at once, or when it hears of it from
+// another because its own watch has gone silent, or soon after the others are no
+// longer heard.
+func TestRelaxedWatch(t *testing.T) {
+	const quiet = time.Minute
+	tests := []struct {
+		name   string
+		silent bool
+		hear   func(s *fakeStore, task *Task)
+	}{
+		{"its own watch tells", false, func(*fakeStore, *Task) {}},
+		{"others tell", true, func(s *fakeStore, task *Task) {
+			for range 2 {
+				task.Heard(context.Background(), "10.1.0.2:1", s.at, true)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}},
+		{"others are gone", true, func(_ *fakeStore, task *Task) { task.Relax(false) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(t *testing.T, s *fakeStore, task *Task) {
+				task.Fetch = func(context.Context, string, Revision) (*wire.PublishedState, error) {
+					return nil, errors.New("not reached")
+				}
+				task.Relax(true)
+				time.Sleep(watchWait)
+				s.set(func() { s.calls = 0 })
+				time.Sleep(quiet)
+				s.set(func() { assert.Assert(t, s.calls <= 1+int(quiet/relaxedWait), "%d calls", s.calls) })
+				s.set(func() { s.silent = tt.silent })
+				time.Sleep(relaxedWait + answerTimeout)
+				s.put("table", "2")
+				// The watch that waits is lost; the next one works.
+				s.set(func() { s.silent = false })
+				tt.hear(s, task)
+				time.Sleep(applyBound - 800*time.Millisecond)
+				assert.Equal(t, text(task.View()), "a v2")
+			})
+		})
+	}
+}
+
+// A relaxed gateway that has not noticed an outage hears of it from others, and
+// keeps what lapsed meanwhile.
+func TestRelaxedGatewayHearsOfAnOutage(t *testing.T) {
+	run(t, func(t *testing.T, s *fakeStore, task *Task) {
+		task.Relax(true)
+		task.Heard(t.Context(), "10.1.0.2:1", 0, false)
+		s.remove("up/a")
+		time.Sleep(time.Second)
+		assert.Equal(t, text(task.View()), "a v1")
+		time.Sleep(LapseGrace)
+		assert.Equal(t, text(task.View()), " v1")
+	})
+}
+
 // While the store is down, what is known holds; the calls are few.
 func TestStoreDown(t *testing.T) {
 	run(t, func(t *testing.T, s *fakeStore, task *Task) {
@@ -148,7 +213,7 @@
 			}}, nil
 		}
 		for range 3 {
-			task.Heard(t.Context(), "10.1.0.2:1", 9)
+			task.Heard(t.Context(), "10.1.0.2:1", 9, true)
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, text(task.View()), " v5")
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -46,6 +46,9 @@
 	silentRounds = 5
 	// silentInterval is the time between two calls to a silent gateway.
 	silentInterval = 2 * time.Second
+	// closeWatchers is how many gateways of those that hear each other watch the
+	// store closely; the others learn from them that they have missed a change.
+	closeWatchers = 3
 	// namesTold is the most addresses of other gateways in an exchange, and
 	// namesInterval the time between two exchanges with a gateway that have any.
 	namesTold     = 16
@@ -65,9 +68,13 @@
 
 // Catalog is told what revision others know, and gives its own state.
 type Catalog interface {
-	Heard(ctx context.Context, address string, r catalog.Revision)
+	Heard(ctx context.Context, address string, r catalog.Revision, settled bool)
 	Revision() catalog.Revision
+	// Settled says that an entry that is missing is gone.
+	Settled() bool
 	State(newerThan catalog.Revision) *wire.PublishedState
+	// Relax is told whether enough others watch the store closely.
+	Relax(relaxed bool)
 }
 
 // Task keeps in touch with the other gateways. Its exported fields are set
@@ -159,6 +166,19 @@
 		go t.call(ctx, address)
 	}
 	t.Desk.Tell(t.counted(now))
+	t.Catalog.Relax(t.before() >= closeWatchers)
+}
+
+// before gives the number of gateways that are heard from and come before this
+// one in the order of addresses.
+func (t *Task) before() int {
+	n := 0
+	for address, p := range t.peers {
+		if !p.silent && !p.heard.IsZero() && address < t.Self {
+			n++
+		}
+	}
+	return n
 }
 
 // due gives the gateways to call now: those that were asked longest ago.
@@ -221,6 +241,7 @@
 		DataCentre:  string(t.DataCentre),
 		Incarnation: string(t.Incarnation),
 		Revision:    uint64(t.Catalog.Revision()),
+		Unsettled:   !t.Catalog.Settled(),
 		Loads:       wordLoads(t.Desk.Loads()),
 	}
 	t.mu.Lock()
@@ -275,7 +296,7 @@
 	}
 	t.Desk.Tell(placement.Heard{Gateway: s.Address, Loads: readLoads(s.Loads)})
 	t.Suspects.Heard(now, s.Suspicions)
-	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision))
+	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision), !s.Unsettled)
 }
 
 // hear notes what the peer says of itself, and of what it knows from this
