--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -26,7 +26,7 @@
 	// answerTimeout bounds the store's answer beyond the time it may wait.
 	answerTimeout = 500 * time.Millisecond
 	// loadTimeout bounds the reading of everything, page by page.
-	loadTimeout = 2 * time.Second
+	loadTimeout = 5 * time.Second
 	// retryFirst and retryMost are the pauses after calls that failed.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -403,3 +403,16 @@
 	p.left = p.left[1:]
 	return n, nil
 }
+
+// Callers that come before there is a table return at different times, within
+// the third of their patience that they heed.
+func TestReturnUnready(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for n := range 20 {
+		c := &Call{ID: CallID(fmt.Sprint(n)), Patience: 1500 * time.Millisecond}
+		wait := c.returnUnready()
+		assert.Assert(t, wait >= 150*time.Millisecond && wait <= c.Patience/3, "%s", wait)
+		seen[wait] = true
+	}
+	assert.Assert(t, len(seen) > 10)
+}
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -28,8 +28,11 @@
 	// writeSlack is how long after a request's deadline a caller may still take
 	// its answer.
 	writeSlack = 2 * time.Second
-	// notReadyReturn is when callers may come back to a gateway without a table.
-	notReadyReturn = 300 * time.Millisecond
+	// notReadyShare is the part of its patience after which a caller may come back
+	// to a gateway without a table, notReadyMost the most. While the store answers a
+	// gateway has its table at once, so one that has none waits for the store.
+	notReadyShare = 0.2
+	notReadyMost  = 1500 * time.Millisecond
 	// stoppingReturn is when callers may come back whom a stopping gateway
 	// refuses: at once, on a connection to another gateway.
 	stoppingReturn = 10 * time.Millisecond
@@ -116,7 +119,7 @@
 	v := t.gateway.Catalog.View()
 	if v.Table == nil {
 		e := result.Errorf(result.NotReady, "no table yet")
-		e.RetryAfter = notReadyReturn
+		e.RetryAfter = c.returnUnready()
 		return e
 	}
 	if err := c.classify(v.Table, t.arrived); err != nil {
@@ -132,6 +135,17 @@
 	return nil
 }
 
+// returnUnready spreads the return of callers that came before there is a table,
+// between a half and one and a half of the usual wait.
+func (c *Call) returnUnready() time.Duration {
+	patience := c.Patience
+	if patience <= 0 {
+		patience = unsaidPatience
+	}
+	wait := min(time.Duration(notReadyShare*float64(patience)), notReadyMost)
+	return wait/2 + time.Duration(xxhash.Sum64String(string(c.ID))%uint64(wait+1))
+}
+
 // classify finds route, account and deadline.
 func (c *Call) classify(table *route.Table, arrived time.Time) error {
 	c.version = table.Version
