Log what a view changes, and keep one list of connection headers

Cause: the direct gateway wrote no line for an upstream that leaves, turns cold or starts again, nor for a data centre that is out, and told of an upstream at the first send only. Headers of one connection stood in two lists that differed: Proxy-Authorization was passed on by one of them.

Change: direct compares each view with the one before (news.go); upstream.PassedOn is the one list, for requests and answers, and drops what Connection names too.

Tests: direct.TestNews, upstream.TestPassedOn.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -11,33 +11,23 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/event"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
-// connectionHeaders concern one connection and are not passed on.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
-	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
-}
-
-// copyHeader copies what is not of one connection.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !connectionHeaders[name] {
-			to[name] = values
-		}
+// copyAnswerHeader copies what callers get of an answer's header; its length is
+// that of what is passed on.
+func copyAnswerHeader(to, from http.Header) {
+	for name, values := range upstream.PassedOn(from) {
+		to[name] = values
 	}
+	to.Del("Content-Length")
 }
 
-// PassedOn copies a caller's header without what concerns its connection.
+// PassedOn copies what upstreams get of a caller's header.
 func PassedOn(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	copyHeader(out, h)
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
+	out := upstream.PassedOn(h)
+	out.Del("Content-Length")
 	return out
 }
 
@@ -59,7 +49,7 @@
 
 func (t *transfer) passKept() {
 	h := t.w.Header()
-	copyHeader(h, t.kept.header)
+	copyAnswerHeader(h, t.kept.header)
 	h.Set("Content-Length", strconv.Itoa(len(t.kept.body)))
 	t.w.WriteHeader(t.kept.status)
 	_, _ = t.w.Write(t.kept.body)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -43,7 +43,9 @@
 	inFlight atomic.Int64
 	metrics  metricSet
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// known is the view of which the log tells.
+	known *route.View
 	pools map[poolKey]*upstream.Pool
 }
 
@@ -57,6 +59,7 @@
 // Init prepares the gateway for use.
 func (g *Gateway) Init() {
 	g.pools = make(map[poolKey]*upstream.Pool)
+	g.known = &route.View{}
 	g.metrics.init(g)
 }
 
@@ -87,11 +90,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.logNews(g.known, v)
+	g.known = v
 	for k, p := range g.pools {
 		if !present[k] {
 			p.Close()
 			delete(g.pools, k)
-			g.Log.Write(event.UpstreamRemoved, "upstream", k.id, "revision", v.Revision)
 		}
 	}
 }
@@ -107,8 +111,6 @@
 	if p == nil {
 		p = &upstream.Pool{Address: u.Address, Opened: g.metrics.connections.Inc}
 		g.pools[k] = p
-		g.Log.Write(event.UpstreamListed, "upstream", u.ID, "service", u.Service, "address", u.Address,
-			"data_centre", u.DataCentre, "cold_ms", u.ColdFor.Milliseconds())
 	}
 	return p
 }
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -264,7 +264,7 @@
 func (o *outgoing) pass(resp *http.Response, part []byte) bool {
 	if !o.headOut {
 		o.headOut = true
-		copyHeader(o.w.Header(), resp.Header)
+		copyAnswerHeader(o.w.Header(), resp.Header)
 		o.w.WriteHeader(resp.StatusCode)
 	}
 	if len(part) == 0 {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/fleet"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
 )
@@ -100,7 +101,7 @@
 		return nil, fmt.Errorf("build request: %w", err)
 	}
 	h.ContentLength = int64(len(r.Body))
-	h.Header = passedOn(r.Header)
+	h.Header = upstream.PassedOn(r.Header)
 	for _, name := range notForUpstream {
 		h.Header.Del(name)
 	}
