Let the gateways that were heard stand for all, and bound exchanges by their bytes

Cause: with 12 exchanges begun an interval a gateway of 350 would spend 30 KB a second on them, 24 are allowed for all control; with four it hears of 40 of the others within the time that what is heard counts, and takes the rest for idle.

Change: what is heard is scaled to the gateways that are heard from; above 30 gateways fewer exchanges are begun, four at the least.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -149,18 +149,24 @@
 		(w.InFlight == 0 || float64(w.MemoryTokens+w.reads+w.fetched+r.OutputTokens) <= memoryShare*float64(e.MemoryTokens))
 }
 
-// others sums what other gateways have in flight at an upstream.
+// others sums what other gateways have in flight at an upstream. Of many
+// gateways only some were heard lately: they stand for all.
 func (c *Core) others(now time.Time, key LoadKey) Load {
 	var sum Load
+	fresh := 0
 	for _, h := range c.heard {
 		if now.Sub(h.at) > heardFor {
 			continue
 		}
+		fresh++
 		l := h.loads[key]
 		sum.InFlight += l.InFlight
 		sum.WaitingTokens += l.WaitingTokens
 		sum.MemoryTokens += l.MemoryTokens
 	}
+	if fresh > 0 && fresh < c.peers {
+		sum = sum.times(float64(c.peers) / float64(fresh))
+	}
 	return sum
 }
 
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -43,9 +43,10 @@
 	waiting []*asked
 	placed  map[Ticket]*placed
 	heard   map[string]heardLoads
-	// gateways is the number of gateways, rank this one's among them.
-	gateways, rank int
-	draws          uint64
+	// gateways is the number of gateways, rank this one's among them; peers are
+	// those that are heard from.
+	gateways, rank, peers int
+	draws                 uint64
 }
 
 type heardLoads struct {
@@ -89,7 +90,7 @@
 	case Heard:
 		c.heard[m.Gateway] = heardLoads{now, m.Loads}
 	case Gateways:
-		c.gateways, c.rank = m.Count, m.Rank
+		c.gateways, c.rank, c.peers = m.Count, m.Rank, m.Others
 	}
 	return append(out, c.serve(now)...)
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -97,7 +97,9 @@
 
 // Gateways says how many gateways there are, this one included, and which of
 // them it is, from 0, in an order that all agree on.
-type Gateways struct{ Count, Rank int }
+//
+// Others is the number of other gateways that are heard from, now or then.
+type Gateways struct{ Count, Rank, Others int }
 
 // Ticked lets time pass for those who wait.
 type Ticked struct{}
@@ -148,6 +150,14 @@
 	MemoryTokens int
 }
 
+func (l Load) times(x float64) Load {
+	return Load{
+		InFlight:      int(x * float64(l.InFlight)),
+		WaitingTokens: int(x * float64(l.WaitingTokens)),
+		MemoryTokens:  int(x * float64(l.MemoryTokens)),
+	}
+}
+
 // Effect is what the core wants done.
 type Effect interface{ effect() }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,10 +34,13 @@
 	// callTimeout bounds an exchange.
 	callTimeout = 500 * time.Millisecond
 	// callsARound bounds the exchanges that a gateway begins in an interval. With
-	// as many that others begin, each of some 25 gateways hears of all others in an
-	// interval; with 350 they take a half of the 24 KB a second that a node may
-	// spend for control.
+	// as many that others begin, each of manyPeers gateways hears of all others in
+	// an interval. With more it begins fewer, callsLeast at the least, as exchanges
+	// may not take more than the 24 KB a second that a node may spend for control:
+	// a sample then stands for all.
 	callsARound = 12
+	callsLeast  = 4
+	manyPeers   = 30
 	// spreadPause is the least time between two rounds that news asked for: a
 	// crash brings many at once.
 	spreadPause = 50 * time.Millisecond
@@ -193,12 +196,20 @@
 	slices.SortFunc(out, func(a, b string) int {
 		return cmp.Or(t.peers[a].asked.Compare(t.peers[b].asked), cmp.Compare(a, b))
 	})
-	return out[:min(len(out), callsARound)]
+	return out[:min(len(out), calls(len(t.peers)))]
+}
+
+// calls gives how many exchanges are begun in an interval with so many peers.
+func calls(peers int) int {
+	if peers <= manyPeers {
+		return callsARound
+	}
+	return max(callsARound*manyPeers/peers, callsLeast)
 }
 
 // age marks a gateway that is no longer heard from.
 func (t *Task) age(now time.Time, address string, p *peer) {
-	rounds := (len(t.peers) + callsARound - 1) / callsARound
+	rounds := len(t.peers)/calls(len(t.peers)) + 1
 	if p.silent || now.Sub(p.heard) < silentRounds*time.Duration(rounds)*interval {
 		return
 	}
@@ -214,6 +225,9 @@
 	for address, p := range t.peers {
 		if !p.heard.IsZero() && now.Sub(p.heard) < forgetAfter {
 			g.Count++
+			if !p.silent {
+				g.Others++
+			}
 			if address < t.Self {
 				g.Rank++
 			}
