--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,7 +11,6 @@
 package roster
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -102,20 +101,6 @@
 	now  chan struct{}
 }
 
-// peer is another gateway.
-type peer struct {
-	heard   time.Time
-	asked   time.Time
-	calling bool
-	silent  bool
-	// named is when it was last told of other gateways.
-	named       time.Time
-	incarnation string
-	// have is the number of its latest change of a suspicion that is known here,
-	// acknowledged that of ours that it knows.
-	have, acknowledged uint64
-}
-
 // Run exchanges until ctx ends.
 func (t *Task) Run(ctx context.Context) error {
 	t.mu.Lock()
@@ -123,22 +108,20 @@
 	t.mu.Unlock()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for {
-		t.round(ctx, time.Now())
+	for ctx.Err() == nil {
 		began := time.Now()
+		t.round(ctx, began)
 		select {
 		case <-ctx.Done():
-			return nil
 		case <-ticker.C:
 		case <-t.now:
-			pause := time.NewTimer(spreadPause - time.Since(began))
 			select {
 			case <-ctx.Done():
-			case <-pause.C:
+			case <-time.After(spreadPause - time.Since(began)):
 			}
-			pause.Stop()
 		}
 	}
+	return nil
 }
 
 func (t *Task) init() {
@@ -172,70 +155,6 @@
 	t.Catalog.Relax(t.before() >= closeWatchers)
 }
 
-// before gives the number of gateways that are heard from and come before this
-// one in the order of addresses.
-func (t *Task) before() int {
-	n := 0
-	for address, p := range t.peers {
-		if !p.silent && !p.heard.IsZero() && address < t.Self {
-			n++
-		}
-	}
-	return n
-}
-
-// due gives the gateways to call now: those that were asked longest ago.
-func (t *Task) due(now time.Time) []string {
-	var out []string
-	for address, p := range t.peers {
-		t.age(now, address, p)
-		if !p.calling && !(p.silent && now.Sub(p.asked) < silentInterval) {
-			out = append(out, address)
-		}
-	}
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(t.peers[a].asked.Compare(t.peers[b].asked), cmp.Compare(a, b))
-	})
-	return out[:min(len(out), calls(len(t.peers)))]
-}
-
-// calls gives how many exchanges are begun in an interval with so many peers.
-func calls(peers int) int {
-	if peers <= manyPeers {
-		return callsARound
-	}
-	return max(callsARound*manyPeers/peers, callsLeast)
-}
-
-// age marks a gateway that is no longer heard from.
-func (t *Task) age(now time.Time, address string, p *peer) {
-	rounds := len(t.peers)/calls(len(t.peers)) + 1
-	if p.silent || now.Sub(p.heard) < silentRounds*time.Duration(rounds)*interval {
-		return
-	}
-	p.silent = true
-	if !p.heard.IsZero() {
-		t.Log.Write(event.GatewaySilent, "gateway", address, "heard_ms_ago", now.Sub(p.heard).Milliseconds())
-	}
-}
-
-// counted gives the gateways that may be sending, in the order of addresses.
-func (t *Task) counted(now time.Time) placement.Gateways {
-	g := placement.Gateways{Count: 1}
-	for address, p := range t.peers {
-		if !p.heard.IsZero() && now.Sub(p.heard) < forgetAfter {
-			g.Count++
-			if !p.silent {
-				g.Others++
-			}
-			if address < t.Self {
-				g.Rank++
-			}
-		}
-	}
-	return g
-}
-
 func (t *Task) call(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -313,22 +232,6 @@
 	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision), !s.Unsettled)
 }
 
-// hear notes what the peer says of itself, and of what it knows from this
-// incarnation of ours.
-func (p *peer) hear(now time.Time, s *wire.GatewayState, self string) {
-	p.heard, p.silent = now, false
-	if s.Incarnation != p.incarnation {
-		p.incarnation, p.have = s.Incarnation, 0
-	}
-	if s.SuspicionSince <= p.have {
-		p.have = max(p.have, s.SuspicionChange)
-	}
-	p.acknowledged = 0
-	if s.SuspicionIncarnation == self {
-		p.acknowledged = s.SuspicionHave
-	}
-}
-
 // Spread tells all gateways at once what is new; the channel is closed at once,
 // as nobody waits for that here.
 func (t *Task) Spread() <-chan struct{} {
