Do not pass doubt of the store on

Each told the other that the store was unsettled because the other had said so, ever since a gap at 13 s.

Ruled out: the pause of 0.4 s after changes (the removal had come at once).

Change: what others are told of the store is what a gateway has seen itself; what it has heard counts only for its own reading of missing entries.

Test: catalog.TestDoubtIsNotPassedOn, red before.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -188,7 +188,7 @@
 		return err
 	}
 	t.contact(nil)
-	t.apply(func(c *Core, clock time.Time) []Fault { return c.Load(clock, entries, at, c.Settled(clock)) })
+	t.apply(func(c *Core, clock time.Time) []Fault { return c.Load(clock, entries, at, c.gone(clock)) })
 	return nil
 }
 
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -206,6 +206,24 @@
 	})
 }
 
+// Relaxed gateways that hear of an outage do not keep each other in doubt: what
+// they tell is what they have seen of the store themselves.
+func TestDoubtIsNotPassedOn(t *testing.T) {
+	run(t, func(t *testing.T, s *fakeStore, task *Task) {
+		task.Relax(true)
+		time.Sleep(LapseGrace)
+		task.Heard(t.Context(), "10.1.0.2:1", 0, false)
+		for range 20 {
+			// Another gateway that goes by what this one tells.
+			task.Heard(t.Context(), "10.1.0.3:1", 0, task.Settled())
+			time.Sleep(400 * time.Millisecond)
+		}
+		s.remove("up/a")
+		time.Sleep(LapseGrace / 2)
+		assert.Equal(t, text(task.View()), " v1")
+	})
+}
+
 // While the store is down, what is known holds; the calls are few.
 func TestStoreDown(t *testing.T) {
 	run(t, func(t *testing.T, s *fakeStore, task *Task) {
