Do not let a gateway that knows no more hide that others do

After a gap in the store's history the close watchers had revision 26 at 2.37 s, the two relaxed gateways at 6.1 s: each time they heard of it from one, the other relaxed one, which knew no more, reset the time since when they were behind. An old fault that watches of a second had hidden.

Change: the time counts from the first revision that is not known here, until it is.

Test: catalog.TestRelaxedWatch, case 'others tell, but one knows no more', red before.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -65,7 +65,10 @@
 	view atomic.Pointer[route.View]
 	// fetching guards against several fetches at once.
 	fetching bool
-	// behindSince is when another gateway was first heard to know more.
+	// behind is the first revision that another gateway was heard to know and that
+	// is not known here, and behindSince when; what others know that know no more
+	// changes neither.
+	behind      Revision
 	behindSince time.Time
 	// relaxed says that others watch closely.
 	relaxed bool
@@ -260,12 +263,12 @@
 	if !settled && t.relaxed {
 		t.core.Doubt(now)
 	}
+	at := t.core.At()
 	switch {
-	case r <= t.core.At():
-		t.behindSince = time.Time{}
+	case r <= at:
 		return
-	case t.behindSince.IsZero():
-		t.behindSince = now
+	case t.behind <= at:
+		t.behind, t.behindSince = r, now
 		return
 	case t.fetching || now.Sub(t.behindSince) < behindAfter:
 		return
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -147,6 +147,13 @@
 				time.Sleep(400 * time.Millisecond)
 			}
 		}},
+		{"others tell, but one knows no more", true, func(s *fakeStore, task *Task) {
+			for range 2 {
+				task.Heard(context.Background(), "10.1.0.2:1", s.at, true)
+				task.Heard(context.Background(), "10.1.0.3:1", 1, true)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}},
 		{"others are gone", true, func(_ *fakeStore, task *Task) { task.Relax(false) }},
 	}
 	for _, tt := range tests {
