Notice at once that the store answers again

The store was back at 23.5 s, but the relaxed gateways noticed when their next watch had run its six seconds, at 29.0 s, so that an entry removed at 29.95 s was kept as lapsed until 32.2 s.

Change: while the store is away a watch waits for 0.1 s at most.

Test: catalog.TestRegainedContactIsNoticed, red before.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -91,6 +91,9 @@
 	return changed
 }
 
+// Away says that the store did not answer when it was last asked.
+func (c *Core) Away() bool { return c.away }
+
 // Settled says that the store has answered since LapseGrace or longer, as far as
 // this gateway has seen itself. It is what others are told: doubt that was heard
 // and passed on would come back for ever.
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -20,6 +20,9 @@
 	// relaxedWait is the same while enough other gateways watch closely and are
 	// heard from: one that misses a change hears of it from them.
 	relaxedWait = 6 * time.Second
+	// regainWait is the same for a watch that is to show whether a store that was
+	// away answers again.
+	regainWait = 100 * time.Millisecond
 	// changePause is the time between an answer with changes and the next watch,
 	// as changes come in rows and each call is charged; relaxedPause is that of
 	// gateways that leave watching closely to others, which are most. A change must
@@ -130,6 +133,9 @@
 	if t.relaxed {
 		wait, pause = relaxedWait, relaxedPause
 	}
+	if t.core.Away() {
+		wait = regainWait
+	}
 	watching, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	t.abort = cancel
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -213,6 +214,25 @@
 	})
 }
 
+// A store that answers again is noticed at once, not when the next watch has run
+// its time: an entry that is removed later is gone, and has not lapsed.
+func TestRegainedContactIsNoticed(t *testing.T) {
+	for _, relaxed := range []bool{false, true} {
+		t.Run(fmt.Sprint("relaxed ", relaxed), func(t *testing.T) {
+			run(t, func(t *testing.T, s *fakeStore, task *Task) {
+				task.Relax(relaxed)
+				s.set(func() { s.down = errors.New("reset") })
+				time.Sleep(relaxedWait + answerTimeout)
+				s.set(func() { s.down = nil })
+				time.Sleep(LapseGrace + time.Second)
+				s.remove("up/a")
+				time.Sleep(watchWait / 2)
+				assert.Equal(t, text(task.View()), " v1")
+			})
+		})
+	}
+}
+
 // Relaxed gateways that hear of an outage do not keep each other in doubt: what
 // they tell is what they have seen of the store themselves.
 func TestDoubtIsNotPassedOn(t *testing.T) {
