--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -166,10 +166,14 @@
 func (t *Task) Relax(relaxed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.relaxed && !relaxed {
-		t.endWatch()
+	if t.relaxed == relaxed {
+		return
 	}
 	t.relaxed = relaxed
+	t.Log.Write(event.WatchChanged, "closely", !relaxed, "revision", uint64(t.core.At()))
+	if !relaxed {
+		t.endWatch()
+	}
 }
 
 // endWatch ends the watch that is waiting, so that another begins.
--- a/internal/event/entries.go
+++ b/internal/event/entries.go
@@ -25,6 +25,7 @@
 	{GatewayHeard, "gateway_heard", Info, "a gateway is heard from", "none"},
 	{GatewaySilent, "gateway_silent", Warn, "a gateway is not heard from any more", "see whether its VM was stopped or cut off"},
 	{SettingsReread, "settings_reread", Info, "settings file read anew", "none"},
+	{WatchChanged, "watch_changed", Info, "the store is watched more or less closely", "none; three gateways that hear each other watch it closely"},
 	{UpstreamCold, "upstream_cold", Warn, "upstream is cold, limit cut", "none; a warm-up takes some clean answers"},
 	{UpstreamWarm, "upstream_warm", Info, "upstream is warm", "none"},
 	{UpstreamLeaves, "upstream_leaves", Info, "upstream takes no new work", "none"},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,6 +47,7 @@
 	GatewayHeard    Number = 214
 	GatewaySilent   Number = 215
 	SettingsReread  Number = 216
+	WatchChanged    Number = 217
 	UpstreamCold    Number = 301
 	UpstreamWarm    Number = 302
 	UpstreamLeaves  Number = 303
