Let those watch the store closely whom it answers, and take doubt out

Two of the three close watchers had been cut off from the store until 24.5 s and told so; the relaxed gateways, whom the store answered, took that for doubt of their own and kept an entry that was removed at 27.7 s for two seconds.

Ruled out: a shorter doubt: any that is heard may come from a cut of the other gateway alone.

Change: what is told is that the store does not answer the sender now. Such a gateway does not count as a close watcher, so the next in order watches closely instead, and all do while the store answers none. Doubt is gone from the catalog.

Tests: roster.TestCloseWatchers, catalog.TestRelaxedGatewayNoticesAnOutage in place of TestRelaxedGatewayHearsOfAnOutage and TestDoubtIsNotPassedOn, which tested the mechanism that is gone; what they asked (lapsed entries are kept, removed ones go at once) is asked by it and by TestRegainedContactIsNoticed.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -58,14 +58,12 @@
 	// entry that concerns nobody here.
 	Decode func(key string, value []byte) (any, error)
 
-	at     Revision
-	loaded bool
-	items  map[string]item
-	// regained is when the store answered again, doubted when another gateway last
-	// said that it does not, or has not for long.
-	regained, doubted time.Time
-	away              bool
-	table             *route.Table
+	at       Revision
+	loaded   bool
+	items    map[string]item
+	regained time.Time
+	away     bool
+	table    *route.Table
 }
 
 type item struct {
@@ -94,22 +92,12 @@
 // Away says that the store did not answer when it was last asked.
 func (c *Core) Away() bool { return c.away }
 
-// Settled says that the store has answered since LapseGrace or longer, as far as
-// this gateway has seen itself. It is what others are told: doubt that was heard
-// and passed on would come back for ever.
+// Settled says that a missing entry is gone: the store has answered since
+// LapseGrace or longer.
 func (c *Core) Settled(now time.Time) bool {
 	return !c.away && now.Sub(c.regained) >= LapseGrace
 }
 
-// gone says that a missing entry is gone, and has not lapsed.
-func (c *Core) gone(now time.Time) bool {
-	return c.Settled(now) && now.Sub(c.doubted) >= LapseGrace
-}
-
-// Doubt notes that the store does not answer another gateway, or has not until
-// just now: this one may not have noticed.
-func (c *Core) Doubt(now time.Time) { c.doubted = now }
-
 // Load takes a whole state as of a revision, unless it is older than what is
 // known. settled says that what it lacks is gone; else it may have lapsed.
 func (c *Core) Load(now time.Time, entries []Entry, at Revision, settled bool) []Fault {
@@ -137,7 +125,7 @@
 	for _, e := range changes {
 		if e.Deleted {
 			if it, ok := c.items[e.Key]; ok && it.entry.Revision < e.Revision {
-				c.remove(now, e.Key, c.gone(now))
+				c.remove(now, e.Key, c.Settled(now))
 			}
 			continue
 		}
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -201,7 +201,7 @@
 		return err
 	}
 	t.contact(nil)
-	t.apply(func(c *Core, clock time.Time) []Fault { return c.Load(clock, entries, at, c.gone(clock)) })
+	t.apply(func(c *Core, clock time.Time) []Fault { return c.Load(clock, entries, at, c.Settled(clock)) })
 	return nil
 }
 
@@ -257,22 +257,18 @@
 	})
 }
 
-// Settled says that an entry that is missing is gone.
-func (t *Task) Settled() bool {
+// Away says that the store did not answer when it was last asked.
+func (t *Task) Away() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Settled(time.Now())
+	return t.core.Away()
 }
 
-// Heard is told what revision another gateway has, and whether a missing entry
-// is gone as far as it knows.
-func (t *Task) Heard(ctx context.Context, address string, r Revision, settled bool) {
+// Heard is told what revision another gateway has.
+func (t *Task) Heard(ctx context.Context, address string, r Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if !settled && t.relaxed {
-		t.core.Doubt(now)
-	}
 	at := t.core.At()
 	switch {
 	case r <= at:
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -144,14 +144,14 @@
 		{"its own watch tells", false, func(*fakeStore, *Task) {}},
 		{"others tell", true, func(s *fakeStore, task *Task) {
 			for range 2 {
-				task.Heard(context.Background(), "10.1.0.2:1", s.at, true)
+				task.Heard(context.Background(), "10.1.0.2:1", s.at)
 				time.Sleep(400 * time.Millisecond)
 			}
 		}},
 		{"others tell, but one knows no more", true, func(s *fakeStore, task *Task) {
 			for range 2 {
-				task.Heard(context.Background(), "10.1.0.2:1", s.at, true)
-				task.Heard(context.Background(), "10.1.0.3:1", 1, true)
+				task.Heard(context.Background(), "10.1.0.2:1", s.at)
+				task.Heard(context.Background(), "10.1.0.3:1", 1)
 				time.Sleep(400 * time.Millisecond)
 			}
 		}},
@@ -200,14 +200,19 @@
 	})
 }
 
-// A relaxed gateway that has not noticed an outage hears of it from others, and
-// keeps what lapsed meanwhile.
-func TestRelaxedGatewayHearsOfAnOutage(t *testing.T) {
+// A relaxed gateway whose watch waits through an outage notices it once it watches
+// closely, as others can't reach the store, and keeps what lapsed meanwhile.
+func TestRelaxedGatewayNoticesAnOutage(t *testing.T) {
 	run(t, func(t *testing.T, s *fakeStore, task *Task) {
 		task.Relax(true)
-		task.Heard(t.Context(), "10.1.0.2:1", 0, false)
+		s.set(func() { s.silent = true })
+		time.Sleep(watchWait)
+		task.Relax(false)
+		time.Sleep(watchWait + answerTimeout)
+		assert.Assert(t, task.Away())
 		s.remove("up/a")
-		time.Sleep(time.Second)
+		s.set(func() { s.silent = false })
+		time.Sleep(LapseGrace)
 		assert.Equal(t, text(task.View()), "a v1")
 		time.Sleep(LapseGrace)
 		assert.Equal(t, text(task.View()), " v1")
@@ -233,24 +238,6 @@
 	}
 }
 
-// Relaxed gateways that hear of an outage do not keep each other in doubt: what
-// they tell is what they have seen of the store themselves.
-func TestDoubtIsNotPassedOn(t *testing.T) {
-	run(t, func(t *testing.T, s *fakeStore, task *Task) {
-		task.Relax(true)
-		time.Sleep(LapseGrace)
-		task.Heard(t.Context(), "10.1.0.2:1", 0, false)
-		for range 20 {
-			// Another gateway that goes by what this one tells.
-			task.Heard(t.Context(), "10.1.0.3:1", 0, task.Settled())
-			time.Sleep(400 * time.Millisecond)
-		}
-		s.remove("up/a")
-		time.Sleep(LapseGrace / 2)
-		assert.Equal(t, text(task.View()), " v1")
-	})
-}
-
 // While the store is down, what is known holds; the calls are few.
 func TestStoreDown(t *testing.T) {
 	run(t, func(t *testing.T, s *fakeStore, task *Task) {
@@ -277,7 +264,7 @@
 			}}, nil
 		}
 		for range 3 {
-			task.Heard(t.Context(), "10.1.0.2:1", 9, true)
+			task.Heard(t.Context(), "10.1.0.2:1", 9)
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, text(task.View()), " v5")
--- a/internal/roster/peer.go
+++ b/internal/roster/peer.go
@@ -17,6 +17,8 @@
 	heard, asked time.Time
 	// calling says that an exchange is under way, silent that it is not heard from.
 	calling, silent bool
+	// away says that the store does not answer it.
+	away bool
 	// named is when it was last told of other gateways.
 	named       time.Time
 	incarnation string
@@ -28,7 +30,7 @@
 // hear notes what the peer says of itself, and of what it knows from this
 // incarnation of ours.
 func (p *peer) hear(now time.Time, s *wire.GatewayState, self string) {
-	p.heard, p.silent = now, false
+	p.heard, p.silent, p.away = now, false, s.StoreAway
 	if s.Incarnation != p.incarnation {
 		p.incarnation, p.have = s.Incarnation, 0
 	}
@@ -93,12 +95,13 @@
 	return g
 }
 
-// before gives the number of gateways that are heard from and come before this
-// one in the order of addresses.
+// before gives the number of gateways that are heard from, that the store answers
+// and that come before this one in the order of addresses. While the store answers
+// none, all watch it closely, and each sees for itself when it is back.
 func (t *Task) before() int {
 	n := 0
 	for address, p := range t.peers {
-		if !p.silent && !p.heard.IsZero() && address < t.Self {
+		if !p.silent && !p.heard.IsZero() && !p.away && address < t.Self {
 			n++
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -48,8 +48,9 @@
 	silentRounds = 5
 	// silentInterval is the time between two calls to a silent gateway.
 	silentInterval = 2 * time.Second
-	// closeWatchers is how many gateways of those that hear each other watch the
-	// store closely; the others learn from them that they have missed a change.
+	// closeWatchers is how many gateways, of those that hear each other and that the
+	// store answers, watch it closely; the others learn from them that they have
+	// missed a change.
 	closeWatchers = 3
 	// namesTold is the most addresses of other gateways in an exchange, and
 	// namesInterval the time between two exchanges with a gateway that have any.
@@ -70,10 +71,10 @@
 
 // Catalog is told what revision others know, and gives its own state.
 type Catalog interface {
-	Heard(ctx context.Context, address string, r catalog.Revision, settled bool)
+	Heard(ctx context.Context, address string, r catalog.Revision)
 	Revision() catalog.Revision
-	// Settled says that an entry that is missing is gone.
-	Settled() bool
+	// Away says that the store did not answer when it was last asked.
+	Away() bool
 	State(newerThan catalog.Revision) *wire.PublishedState
 	// Relax is told whether enough others watch the store closely.
 	Relax(relaxed bool)
@@ -174,7 +175,7 @@
 		DataCentre:  string(t.DataCentre),
 		Incarnation: string(t.Incarnation),
 		Revision:    uint64(t.Catalog.Revision()),
-		Unsettled:   !t.Catalog.Settled(),
+		StoreAway:   t.Catalog.Away(),
 		Loads:       wordLoads(t.Desk.Loads()),
 	}
 	t.mu.Lock()
@@ -229,7 +230,7 @@
 	}
 	t.Desk.Tell(placement.Heard{Gateway: s.Address, Loads: readLoads(s.Loads)})
 	t.Suspects.Heard(now, s.Suspicions)
-	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision), !s.Unsettled)
+	t.Catalog.Heard(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision))
 }
 
 // Spread tells all gateways at once what is new; the channel is closed at once,
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/wire"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -71,6 +72,22 @@
 	}
 }
 
+// The first gateways that the store answers watch it closely.
+func TestCloseWatchers(t *testing.T) {
+	task := &Task{Self: "10.0.0.9:1", Seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.1.9:1"}}
+	task.init()
+	for _, p := range task.peers {
+		p.heard = start
+	}
+	assert.Equal(t, task.before(), 3)
+	task.peers["10.0.0.1:1"].away = true
+	assert.Equal(t, task.before(), 2)
+	task.peers["10.0.0.2:1"].silent = true
+	assert.Equal(t, task.before(), 1)
+	task.peers["10.0.0.1:1"].hear(start, &wire.GatewayState{}, "")
+	assert.Equal(t, task.before(), 2)
+}
+
 // Few names are told at a time, and all in turn.
 func TestNamesInTurn(t *testing.T) {
 	task := newTask(100)
--- a/internal/roster/session_test.go
+++ b/internal/roster/session_test.go
@@ -34,11 +34,11 @@
 // emptyCatalog knows nothing.
 type emptyCatalog struct{}
 
-func (emptyCatalog) Heard(context.Context, string, catalog.Revision, bool) {}
-func (emptyCatalog) Settled() bool                                         { return true }
-func (emptyCatalog) Revision() catalog.Revision                            { return 0 }
-func (emptyCatalog) Relax(bool)                                            {}
-func (emptyCatalog) State(catalog.Revision) *wire.PublishedState           { return nil }
+func (emptyCatalog) Heard(context.Context, string, catalog.Revision) {}
+func (emptyCatalog) Away() bool                                      { return false }
+func (emptyCatalog) Revision() catalog.Revision                      { return 0 }
+func (emptyCatalog) Relax(bool)                                      {}
+func (emptyCatalog) State(catalog.Revision) *wire.PublishedState     { return nil }
 
 func newGateway(n int, incarnation fleet.Incarnation) *Task {
 	return &Task{
