Last reading: one of each, and less under a lock

Found and mended: the condition for fetching stood in choose and in workOf, now in work alone; the return of refused callers was worded twice (placement and callers without a table), now placement.ReturnAfter; how long a caller waits twice, now Call.patience; the header of an answer was copied beside PassedOn; the log of a new view was written under the lock that each send takes; step took its lock twice, and how a watch is paced is a function; bounds of the cold are read as those of repeats.

Decisions are the same but for the draw of a return before there is a table, which is now in thousandths, as elsewhere. Tests keep their assertions.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -123,19 +123,12 @@
 // step makes one call to the store.
 func (t *Task) step(ctx context.Context) error {
 	t.mu.Lock()
-	loaded, at := t.core.Loaded(), t.core.At()
-	t.mu.Unlock()
-	if !loaded {
+	if !t.core.Loaded() {
+		t.mu.Unlock()
 		return t.load(ctx)
 	}
-	t.mu.Lock()
-	wait, pause := watchWait, changePause
-	if t.relaxed {
-		wait, pause = relaxedWait, relaxedPause
-	}
-	if t.core.Away() {
-		wait = regainWait
-	}
+	at := t.core.At()
+	wait, pause := t.pace()
 	watching, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	t.abort = cancel
@@ -161,6 +154,19 @@
 	return nil
 }
 
+// pace gives how long the next watch may wait, and the pause after one that had
+// changes.
+func (t *Task) pace() (wait, pause time.Duration) {
+	wait, pause = watchWait, changePause
+	if t.relaxed {
+		wait, pause = relaxedWait, relaxedPause
+	}
+	if t.core.Away() {
+		wait = regainWait
+	}
+	return wait, pause
+}
+
 // Relax says whether enough others watch the store closely. A long watch that
 // waits when they cease to is ended, as nobody may tell that it has gone silent.
 func (t *Task) Relax(relaxed bool) {
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,16 +16,8 @@
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
-// copyAnswerHeader copies what callers get of an answer's header; its length is
-// that of what is passed on.
-func copyAnswerHeader(to, from http.Header) {
-	for name, values := range upstream.PassedOn(from) {
-		to[name] = values
-	}
-	to.Del("Content-Length")
-}
-
-// PassedOn copies what upstreams get of a caller's header.
+// PassedOn copies what upstreams get of a caller's header, and callers of an
+// answer's; the length is that of what is passed on.
 func PassedOn(h http.Header) http.Header {
 	out := upstream.PassedOn(h)
 	out.Del("Content-Length")
@@ -49,7 +42,7 @@
 
 func (t *transfer) passKept() {
 	h := t.w.Header()
-	copyAnswerHeader(h, t.kept.header)
+	maps.Copy(h, PassedOn(t.kept.header))
 	h.Set("Content-Length", strconv.Itoa(len(t.kept.body)))
 	t.w.WriteHeader(t.kept.status)
 	_, _ = t.w.Write(t.kept.body)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -43,9 +43,10 @@
 	inFlight atomic.Int64
 	metrics  metricSet
 
-	mu sync.Mutex
-	// known is the view of which the log tells.
+	// known is the view of which the log tells; Published alone uses it.
 	known *route.View
+
+	mu    sync.Mutex
 	pools map[poolKey]*upstream.Pool
 }
 
@@ -81,17 +82,18 @@
 // WriteMetrics writes the gateway's metrics as text.
 func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
 
-// Published takes over a view: upstreams that are gone lose their connections.
+// Published takes over a view: upstreams that are gone lose their connections. It
+// is called for one view at a time.
 func (g *Gateway) Published(v *route.View) {
 	g.Desk.Tell(placement.Published{View: v})
+	g.logNews(g.known, v)
+	g.known = v
 	present := make(map[poolKey]bool, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		present[keyOf(u)] = true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logNews(g.known, v)
-	g.known = v
 	for k, p := range g.pools {
 		if !present[k] {
 			p.Close()
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"jasminewing.dev/jasminewing/internal/placement"
@@ -410,7 +411,7 @@
 	seen := map[time.Duration]bool{}
 	for n := range 20 {
 		c := &Call{ID: CallID(fmt.Sprint(n)), Patience: 1500 * time.Millisecond}
-		wait := c.returnUnready()
+		wait := placement.ReturnAfter(c.patience(), xxhash.Sum64String(string(c.ID)))
 		assert.Assert(t, wait >= 150*time.Millisecond && wait <= c.Patience/3, "%s", wait)
 		seen[wait] = true
 	}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -264,7 +265,7 @@
 func (o *outgoing) pass(resp *http.Response, part []byte) bool {
 	if !o.headOut {
 		o.headOut = true
-		copyAnswerHeader(o.w.Header(), resp.Header)
+		maps.Copy(o.w.Header(), PassedOn(resp.Header))
 		o.w.WriteHeader(resp.StatusCode)
 	}
 	if len(part) == 0 {
--- a/internal/direct/transfer.go
+++ b/internal/direct/transfer.go
@@ -28,11 +28,6 @@
 	// writeSlack is how long after a request's deadline a caller may still take
 	// its answer.
 	writeSlack = 2 * time.Second
-	// notReadyShare is the part of its patience after which a caller may come back
-	// to a gateway without a table, notReadyMost the most. While the store answers a
-	// gateway has its table at once, so one that has none waits for the store.
-	notReadyShare = 0.2
-	notReadyMost  = 1500 * time.Millisecond
 	// stoppingReturn is when callers may come back whom a stopping gateway
 	// refuses: at once, on a connection to another gateway.
 	stoppingReturn = 10 * time.Millisecond
@@ -119,7 +114,9 @@
 	v := t.gateway.Catalog.View()
 	if v.Table == nil {
 		e := result.Errorf(result.NotReady, "no table yet")
-		e.RetryAfter = c.returnUnready()
+		// While the store answers a gateway has its table at once, so one that has none
+		// waits for the store, and its callers return as from full upstreams.
+		e.RetryAfter = placement.ReturnAfter(c.patience(), xxhash.Sum64String(string(c.ID)))
 		return e
 	}
 	if err := c.classify(v.Table, t.arrived); err != nil {
@@ -135,15 +132,12 @@
 	return nil
 }
 
-// returnUnready spreads the return of callers that came before there is a table,
-// between a half and one and a half of the usual wait.
-func (c *Call) returnUnready() time.Duration {
-	patience := c.Patience
-	if patience <= 0 {
-		patience = unsaidPatience
+// patience gives how long the caller waits.
+func (c *Call) patience() time.Duration {
+	if c.Patience <= 0 {
+		return unsaidPatience
 	}
-	wait := min(time.Duration(notReadyShare*float64(patience)), notReadyMost)
-	return wait/2 + time.Duration(xxhash.Sum64String(string(c.ID))%uint64(wait+1))
+	return c.Patience
 }
 
 // classify finds route, account and deadline.
@@ -157,10 +151,7 @@
 	if !ok && !c.route.Public && len(table.Accounts) > 0 {
 		return result.Errorf(result.BadKey, "the key belongs to no client account")
 	}
-	patience := c.Patience
-	if patience <= 0 {
-		patience = unsaidPatience
-	}
+	patience := c.patience()
 	if c.route.Timeout > 0 {
 		patience = min(patience, c.route.Timeout)
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -54,18 +54,14 @@
 	member *member
 	// expected is the time in which the answer is expected to begin.
 	expected time.Duration
-	// holder is the engine to fetch prompt parts from; nil for none.
-	holder *member
-	// reads and fetched are the prompt tokens that the upstream has to read and
-	// to fetch.
-	reads, fetched int
+	work     work
 }
 
 func (ch choice) source() string {
-	if ch.holder == nil {
+	if ch.work.holder == nil {
 		return ""
 	}
-	return ch.holder.upstream.Address
+	return ch.work.holder.upstream.Address
 }
 
 // choose gives the best upstream that can take a request now.
@@ -87,10 +83,7 @@
 		wait, cost := c.cost(now, m, r, p, w)
 		if best.member == nil || cost < least || cost == least && m.upstream.ID < best.member.upstream.ID {
 			least = cost
-			best = choice{member: m, expected: wait, reads: w.reads, fetched: w.fetched}
-			if m != p.holder && m.service.Engine != nil && m.service.Engine.Fetches() {
-				best.holder = p.holder
-			}
+			best = choice{member: m, expected: wait, work: w}
 		}
 	}
 	return best
@@ -105,6 +98,8 @@
 // would read for one request more.
 type work struct {
 	Load
+	// holder is the engine to fetch prompt parts from; nil for none.
+	holder *member
 	// reads and fetched are the prompt tokens of the request that the upstream
 	// would read, and fetch from the holder.
 	reads, fetched int
@@ -117,6 +112,7 @@
 	sum.MemoryTokens += m.memory
 	w := work{Load: sum, reads: m.cache.missing(r.Prompt)}
 	if e := m.service.Engine; e != nil && e.Fetches() && p.holder != nil && m != p.holder {
+		w.holder = p.holder
 		w.fetched = max(w.reads-p.lacking, 0)
 		w.reads -= w.fetched
 	}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -185,7 +185,7 @@
 	}
 	patience := time.Duration(waitShare * float64(r.Objective))
 	if now.Sub(a.since) >= patience || r.Deadline.Sub(now) < leastLeft {
-		return Refuse{a.ticket, c.reason(r), c.returnAfter(now, r)}
+		return Refuse{a.ticket, c.reason(r), ReturnAfter(r.Deadline.Sub(now), c.draw())}
 	}
 	return nil
 }
@@ -200,12 +200,12 @@
 	return result.NoUpstream
 }
 
-// returnAfter spreads the return of refused callers.
-func (c *Core) returnAfter(now time.Time, r *Request) time.Duration {
-	left := r.Deadline.Sub(now)
+// ReturnAfter gives when a caller that was refused with some time left may come
+// back. A draw that differs between callers spreads them, between half of the
+// usual wait and one and a half.
+func ReturnAfter(left time.Duration, draw uint64) time.Duration {
 	wait := min(time.Duration(returnShare*float64(left)), returnMost)
-	// Between half of the wait and one and a half.
-	return max(wait/2+time.Duration(c.draw()%1000)*wait/1000, 0)
+	return max(wait/2+time.Duration(draw%1000)*wait/1000, 0)
 }
 
 // draw gives the next of a row of numbers that differ between gateways.
@@ -222,8 +222,8 @@
 func (c *Core) place(now time.Time, a *asked, ch choice) {
 	m := ch.member
 	p := &placed{member: m, sent: now, expected: ch.expected}
-	p.uncached = ch.reads
-	p.memory = ch.reads + ch.fetched + a.request.OutputTokens
+	p.uncached = ch.work.reads
+	p.memory = ch.work.reads + ch.work.fetched + a.request.OutputTokens
 	m.inFlight++
 	m.memory += p.memory
 	m.waitingTokens += p.uncached
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -98,7 +98,7 @@
 // Gateways says how many gateways there are, this one included, and which of
 // them it is, from 0, in an order that all agree on.
 //
-// Others is the number of other gateways that are heard from, now or then.
+// Others is the number of those of the others that have not gone silent.
 type Gateways struct{ Count, Rank, Others int }
 
 // Ticked lets time pass for those who wait.
