Log and count reads of the store that are cut, and state that is behind

The log could not tell a read that is cut again and again from one that delivers too much or is slow to decode: a cut read left no line, and a gateway that was behind did not say so.

218 read_cut names the bytes and the time since the first of them, 219 state_behind and 220 state_caught_up the revision that another gateway has had for over a second, and 201 the bytes and the time of the last read and of decoding. Metrics count bytes, cut reads, failed fetches and seconds behind. No decision changes.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -52,14 +52,14 @@
 var ErrCompacted = errors.New("the store no longer has this history")
 
 // Store is read access to the store of the platform, which gateways cannot write
-// to.
+// to. Its methods call received with the number of bytes as they arrive.
 type Store interface {
 	// Range returns all entries, and a revision from which a watch misses no
 	// change.
-	Range(ctx context.Context) ([]Entry, Revision, error)
+	Range(ctx context.Context, received func(bytes int)) ([]Entry, Revision, error)
 	// Watch returns the changes after a revision, and the revision that they lead
 	// to. It waits for changes no longer than the given time.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Entry, Revision, error)
+	Watch(ctx context.Context, after Revision, wait time.Duration, received func(bytes int)) ([]Entry, Revision, error)
 }
 
 // Task follows the store. Its exported fields must be set before Run.
@@ -89,6 +89,12 @@
 	cancelWatch context.CancelFunc
 	interrupted bool
 	timer       *time.Timer
+	// lastRead is the last complete read that the store answered.
+	lastRead completedRead
+	// behindReported reports that StateBehind was logged.
+	behindReported bool
+
+	bytesReceived, readsCut, fetchesFailed atomic.Uint64
 }
 
 // View returns the state in force. It is empty until the first state has been
@@ -146,7 +152,9 @@
 	defer cancel()
 	t.cancelWatch = cancel
 	t.mu.Unlock()
-	changes, revision, err := t.Store.Watch(watchCtx, at, wait)
+	r := t.startRead("watch")
+	changes, revision, err := t.Store.Watch(watchCtx, at, wait, r.receive)
+	t.endRead(ctx, r, err)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		t.Log.WriteThrottled(event.HistoryDropped, "store", "revision", uint64(at))
@@ -220,7 +228,9 @@
 func (t *Task) load(ctx context.Context) error {
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	entries, at, err := t.Store.Range(loadCtx)
+	r := t.startRead("range")
+	entries, at, err := t.Store.Range(loadCtx, r.receive)
+	t.endRead(ctx, r, err)
 	if err != nil {
 		return err
 	}
@@ -257,9 +267,11 @@
 	}
 	v := t.core.View(now)
 	t.view.Store(v)
+	t.reportCaughtUp(now)
 	if v.Table != nil && v.Table != before.Table {
 		t.Log.Write(event.TableApplied, "revision", uint64(v.Revision), "version", int64(v.Table.Version),
-			"routes", len(v.Table.Routes))
+			"routes", len(v.Table.Routes), "decode_ms", time.Since(now).Milliseconds(), "read_bytes", t.lastRead.bytes,
+			"read_ms", t.lastRead.duration.Milliseconds())
 	}
 	if t.OnChange != nil {
 		t.OnChange(v)
@@ -305,6 +317,9 @@
 	case t.peerRevision <= at:
 		t.peerRevision, t.peerRevisionSince = r, now
 		return
+	}
+	t.reportBehind(now, address, r)
+	switch {
 	case t.fetching || now.Sub(t.peerRevisionSince) < fetchDelay:
 		return
 	}
@@ -324,6 +339,7 @@
 	defer cancel()
 	state, err := t.Fetch(ctx, address, t.Revision())
 	if err != nil {
+		t.fetchesFailed.Add(1)
 		t.Log.WriteThrottled(event.FetchFailed, address, "error", err)
 		return
 	}
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -50,14 +50,14 @@
 	})
 }
 
-func (s *fakeStore) Range(context.Context) ([]Entry, Revision, error) {
+func (s *fakeStore) Range(_ context.Context, _ func(int)) ([]Entry, Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	return append([]Entry(nil), s.entries...), s.at, s.down
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Entry, Revision, error) {
+func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration, _ func(int)) ([]Entry, Revision, error) {
 	s.set(func() { s.calls++ })
 	end := time.Now().Add(wait)
 	for {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/catalog"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
@@ -17,7 +18,10 @@
 )
 
 // Catalog provides the current view of routing table and upstreams.
-type Catalog interface{ View() *route.View }
+type Catalog interface {
+	View() *route.View
+	Stats() catalog.Stats
+}
 
 // Suspects tracks requests that are suspected of crashing upstreams.
 type Suspects interface {
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"jasminewing.dev/jasminewing/internal/catalog"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
@@ -69,6 +70,7 @@
 type staticCatalog struct{ view *route.View }
 
 func (c staticCatalog) View() *route.View { return c.view }
+func (staticCatalog) Stats() catalog.Stats     { return catalog.Stats{} }
 
 // fakeSuspects refuses the requests whose fingerprints it holds.
 type fakeSuspects map[suspect.Fingerprint]bool
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -23,6 +23,10 @@
 	m.connections = m.set.NewCounter("jasminewing_direct_connections_total")
 	m.set.NewGauge("jasminewing_direct_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("jasminewing_direct_table_revision", func() float64 { return float64(g.Catalog.View().Revision) })
+	m.set.NewGauge("jasminewing_direct_state_behind_seconds", func() float64 { return g.Catalog.Stats().Behind.Seconds() })
+	m.set.NewGauge("jasminewing_direct_store_bytes_total", func() float64 { return float64(g.Catalog.Stats().BytesReceived) })
+	m.set.NewGauge("jasminewing_direct_store_reads_cut_total", func() float64 { return float64(g.Catalog.Stats().ReadsCut) })
+	m.set.NewGauge("jasminewing_direct_fetches_failed_total", func() float64 { return float64(g.Catalog.Stats().FetchesFailed) })
 	// Create each counter before its first event, so that its rate is correct.
 	for _, i := range result.All() {
 		m.refusal(i.Code)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,9 @@
 	GatewaySilent   Number = 215
 	SettingsReread  Number = 216
 	WatchChanged    Number = 217
+	ReadCut         Number = 218
+	StateBehind     Number = 219
+	StateCaughtUp   Number = 220
 	UpstreamCold    Number = 301
 	UpstreamWarm    Number = 302
 	UpstreamLeaves  Number = 303
