--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -69,8 +69,8 @@
 
 type staticCatalog struct{ view *route.View }
 
-func (c staticCatalog) View() *route.View { return c.view }
-func (staticCatalog) Stats() catalog.Stats     { return catalog.Stats{} }
+func (c staticCatalog) View() *route.View  { return c.view }
+func (staticCatalog) Stats() catalog.Stats { return catalog.Stats{} }
 
 // fakeSuspects refuses the requests whose fingerprints it holds.
 type fakeSuspects map[suspect.Fingerprint]bool
