Bound reads by their progress, and don't cut a watch for a fetch

What callers saw: on VMs with 10 Mbit/s, 404 on routes that had been added and answers by a table that was 6 s old and older; requests at upstreams that were leaving.

Cause: retries that start anew and get no further. The table is 1.18 MB on the wire, about 1 s on such a link. A gateway that heard of a newer revision cut the watch that was receiving it and fetched it from another gateway, with 1 s for the whole; a page of the store had 1 s too.

Evidence: 218 read_cut at all 19 such gateways, 3.68 s: 0.6 s and 590 to 704 KB of 1,180,675 bytes, "context canceled"; 212 each second after that; at 35 s range reads cut after 984 ms and 819 KB by the deadline.

Ruled out: decoding (decode_ms of 201 is 23 to 52 ms at 0.8 of a core, 121 ms at 0.144); versions that pile up in a watch (read_bytes of 201 is that of one table: the operator sends the next version when the last is acknowledged, 3.66 s here).

Now the time until a response begins is bounded, and the time without a further byte, not the whole; a fetch leaves a watch alone whose response has begun; the state between gateways comes in parts, so that its progress shows.

--- a/internal/catalog/stats.go
+++ b/internal/catalog/stats.go
@@ -1,8 +1,6 @@
 package catalog
 
 import (
-	"context"
-	"sync/atomic"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/event"
@@ -62,44 +60,3 @@
 	t.behindReported = false
 	t.Log.Write(event.StateCaughtUp, "revision", uint64(t.core.Revision()), "behind_ms", now.Sub(t.peerRevisionSince).Milliseconds())
 }
-
-// read measures one read of the store.
-type read struct {
-	kind    string
-	startAt time.Time
-	// firstByteAt is in nanoseconds after startAt, or zero before the first byte.
-	firstByteAt atomic.Int64
-	bytes       atomic.Int64
-}
-
-// completedRead is the size of a response, and the time from its first byte to its
-// last.
-type completedRead struct {
-	bytes    int64
-	duration time.Duration
-}
-
-func (t *Task) startRead(kind string) *read { return &read{kind: kind, startAt: time.Now()} }
-
-func (r *read) receive(bytes int) {
-	r.firstByteAt.CompareAndSwap(0, int64(time.Since(r.startAt)))
-	r.bytes.Add(int64(bytes))
-}
-
-func (r *read) duration() time.Duration {
-	return time.Since(r.startAt) - time.Duration(r.firstByteAt.Load())
-}
-
-// endRead counts a read, and logs one that ended early unless the process stops.
-func (t *Task) endRead(ctx context.Context, r *read, err error) {
-	t.bytesReceived.Add(uint64(r.bytes.Load()))
-	switch {
-	case err == nil:
-		t.mu.Lock()
-		t.lastRead = completedRead{r.bytes.Load(), r.duration()}
-		t.mu.Unlock()
-	case r.bytes.Load() > 0 && ctx.Err() == nil:
-		t.readsCut.Add(1)
-		t.Log.WriteThrottled(event.ReadCut, r.kind, "bytes", r.bytes.Load(), "after_ms", r.duration().Milliseconds(), "error", err)
-	}
-}
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -31,11 +31,13 @@
 	// seconds.
 	changePause  = 100 * time.Millisecond
 	relaxedPause = 400 * time.Millisecond
-	// answerTimeout bounds the response time of the store beyond the time for
-	// which it may hold a watch open.
+	// answerTimeout bounds the time until a response of the store begins, beyond
+	// the time for which it may hold a watch open.
 	answerTimeout = 500 * time.Millisecond
-	// loadTimeout bounds a read of the complete state, over all its pages.
-	loadTimeout = 5 * time.Second
+	// stallTimeout bounds the time without a further byte of a response. A
+	// response as a whole has no limit: what a slow link can't transfer in time,
+	// it couldn't on the next try either.
+	stallTimeout = time.Second
 	// firstBackoff and maxBackoff bound the exponential backoff after failed
 	// calls.
 	firstBackoff = 50 * time.Millisecond
@@ -43,8 +45,7 @@
 	// fetchDelay is how long another gateway may report a newer revision before
 	// its state is fetched: usually the response of the store itself is already
 	// on its way.
-	fetchDelay   = 200 * time.Millisecond
-	fetchTimeout = time.Second
+	fetchDelay = 200 * time.Millisecond
 )
 
 // ErrCompacted reports that the store no longer has the history after the
@@ -66,8 +67,9 @@
 type Task struct {
 	Store  Store
 	Decode func(key string, value []byte) (any, error)
-	// Fetch requests the published state from another gateway.
-	Fetch func(ctx context.Context, address string, newerThan Revision) (*wire.PublishedState, error)
+	// Fetch requests the published state from another gateway. It calls received
+	// with the number of bytes as they arrive.
+	Fetch func(ctx context.Context, address string, newerThan Revision, received func(bytes int)) (*wire.PublishedState, error)
 	Log   *event.Log
 	// OnChange, if set, is called with each new view.
 	OnChange func(*route.View)
@@ -84,11 +86,9 @@
 	peerRevisionSince time.Time
 	// relaxed reports that enough other gateways watch the store closely.
 	relaxed bool
-	// cancelWatch cancels the current watch. interrupted reports that
-	// interruptWatch called it.
-	cancelWatch context.CancelFunc
-	interrupted bool
-	timer       *time.Timer
+	// watch is the current watch, or nil.
+	watch *read
+	timer *time.Timer
 	// lastRead is the last complete read that the store answered.
 	lastRead completedRead
 	// behindReported reports that StateBehind was logged.
@@ -148,12 +148,10 @@
 	}
 	at := t.core.Revision()
 	wait, pause := t.watchTiming()
-	watchCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
-	defer cancel()
-	t.cancelWatch = cancel
+	r := startRead(ctx, "watch", wait+answerTimeout)
+	t.watch = r
 	t.mu.Unlock()
-	r := t.startRead("watch")
-	changes, revision, err := t.Store.Watch(watchCtx, at, wait, r.receive)
+	changes, revision, err := t.Store.Watch(r.ctx, at, wait, r.receive)
 	t.endRead(ctx, r, err)
 	switch {
 	case errors.Is(err, ErrCompacted):
@@ -162,7 +160,7 @@
 		// without a delay.
 		sleep(ctx, firstBackoff)
 		return t.load(ctx)
-	case err != nil && t.clearInterrupted():
+	case err != nil && r.interrupted():
 		// The next watch uses a new connection and shows whether the store
 		// responds.
 		return nil
@@ -206,30 +204,18 @@
 	}
 }
 
-// interruptWatch cancels the current watch, so that a new one starts.
+// interruptWatch cancels the current watch, so that a new one starts, unless its
+// response is arriving.
 func (t *Task) interruptWatch() {
-	if t.cancelWatch != nil {
-		t.interrupted = true
-		t.cancelWatch()
+	if t.watch != nil {
+		t.watch.interruptUnlessReceiving()
 	}
 }
 
-// clearInterrupted reports whether the last watch was interrupted, and resets the
-// flag.
-func (t *Task) clearInterrupted() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	was := t.interrupted
-	t.interrupted = false
-	return was
-}
-
 // load reads the complete state from the store.
 func (t *Task) load(ctx context.Context) error {
-	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	r := t.startRead("range")
-	entries, at, err := t.Store.Range(loadCtx, r.receive)
+	r := startRead(ctx, "range", answerTimeout)
+	entries, at, err := t.Store.Range(r.ctx, r.receive)
 	t.endRead(ctx, r, err)
 	if err != nil {
 		return err
@@ -335,12 +321,14 @@
 		t.fetching = false
 		t.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	state, err := t.Fetch(ctx, address, t.Revision())
+	r := startRead(ctx, "fetch", stallTimeout)
+	state, err := t.Fetch(r.ctx, address, t.Revision(), r.receive)
+	cause := context.Cause(r.ctx)
+	done := r.end()
 	if err != nil {
 		t.fetchesFailed.Add(1)
-		t.Log.WriteThrottled(event.FetchFailed, address, "error", err)
+		t.Log.WriteThrottled(event.FetchFailed, address, "error", err, "cause", cause, "bytes", done.bytes,
+			"after_ms", done.duration.Milliseconds())
 		return
 	}
 	entries := make([]Entry, 0, len(state.Entries))
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -161,7 +161,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
-				task.Fetch = func(context.Context, string, Revision) (*wire.PublishedState, error) {
+				task.Fetch = func(context.Context, string, Revision, func(int)) (*wire.PublishedState, error) {
 					return nil, errors.New("not reached")
 				}
 				task.SetRelaxed(true)
@@ -263,7 +263,7 @@
 		other := &Core{Decode: decode}
 		other.ApplyState(time.Now(), []Entry{entry("table", "5", 9)}, 9, true)
 		s.set(func() { s.down = errors.New("busy") })
-		task.Fetch = func(context.Context, string, Revision) (*wire.PublishedState, error) {
+		task.Fetch = func(context.Context, string, Revision, func(int)) (*wire.PublishedState, error) {
 			return &wire.PublishedState{Revision: 9, Settled: true, Entries: []*wire.PublishedEntry{
 				{Key: "table", Value: []byte("5"), Revision: 9},
 			}}, nil
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -265,7 +265,7 @@
 	return t.state(time.Now(), s.Address), nil
 }
 
-// Fetch returns the published state to a gateway that has an older revision.
-func (t *Task) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.PublishedState, error) {
-	return t.Catalog.State(catalog.Revision(r.NewerThan)), nil
+// Fetch sends the published state to a gateway that has an older revision.
+func (t *Task) Fetch(r *wire.FetchRequest, stream wire.DRPCGateways_FetchStream) error {
+	return wire.SendState(stream, t.Catalog.State(catalog.Revision(r.NewerThan)))
 }
