Watch upstreams, data centres and the routing table separately

Cause: entries of upstreams came by the same watch as the table, so an upstream that leaves waited behind a megabyte, and behind each version written meanwhile. A read of a table that this gateway cut itself counted as an outage of the store, after which removed upstreams are kept for two seconds.

Now each of the three sections has its own watch, revision and fetch between gateways, and only the small responses about upstreams tell whether the store answers. Gateways tell each other the newest change of each section. A view is published once all three are known.

TestSectionsHaveRevisionsOfTheirOwn is new.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -3,6 +3,9 @@
 // Core does no I/O. Task reads the store, and fetches the state of another gateway
 // that reports a newer revision if the store does not deliver it in time.
 //
+// The state has three sections, which are read separately: a large routing table on
+// a slow link does not delay the news that an upstream leaves.
+//
 // Revisions only increase: state older than the known state is never applied,
 // whatever its source. An entry that cannot be decoded is skipped and logged, and
 // the other entries stay valid. If the table cannot be decoded, the last valid
@@ -15,8 +18,8 @@
 // # Usage
 //
 //	c := &catalog.Core{Decode: decode}
-//	skipped := c.ApplyState(now, entries, revision, false)
-//	skipped = c.ApplyChanges(now, changes, revision)
+//	skipped := c.ApplyState(now, catalog.Upstreams, state)
+//	skipped = c.ApplyChanges(now, catalog.Upstreams, changes, revision)
 //	view := c.View(now)
 package catalog
 
@@ -37,6 +40,34 @@
 // Revision is a revision of the store. It increases with each change.
 type Revision uint64
 
+// Section is a part of the published state that is read separately.
+type Section int
+
+// Sections.
+const (
+	RoutingTable Section = iota
+	Upstreams
+	DataCentresOut
+	// SectionCount is the number of sections.
+	SectionCount
+)
+
+// String returns the name of the section in logs.
+func (s Section) String() string {
+	switch s {
+	case RoutingTable:
+		return "routing_table"
+	case Upstreams:
+		return "upstreams"
+	case DataCentresOut:
+		return "data_centres_out"
+	}
+	return "unknown"
+}
+
+// Revisions has one revision for each section.
+type Revisions [SectionCount]Revision
+
 // Entry is one published key with its encoded value.
 type Entry struct {
 	Key      string
@@ -55,20 +86,39 @@
 	Cause error
 }
 
+// State is the complete state of a section.
+type State struct {
+	Entries []Entry
+	// Revision is the revision up to which the state includes every change.
+	Revision Revision
+	// Changed is the revision of the newest change in the state, or Revision if that
+	// is not known.
+	Changed Revision
+	// Settled reports that an entry missing from the state is deleted. Otherwise a
+	// missing upstream may only have expired.
+	Settled bool
+}
+
 // Core holds the published state. Set Decode before use.
 type Core struct {
 	// Decode returns a *route.Table, a route.Upstream or a DataCentreOut, or nil
 	// for an entry that gateways do not use.
 	Decode func(key string, value []byte) (any, error)
 
-	revision         Revision
-	loaded           bool
-	items            map[string]item
+	sections         [SectionCount]section
 	reachableSince   time.Time
 	storeUnreachable bool
 	table            *route.Table
 }
 
+// section is the known state of one section.
+type section struct {
+	// revision and changed are those of the State.
+	revision, changed Revision
+	loaded            bool
+	items             map[string]item
+}
+
 type item struct {
 	entry   Entry
 	decoded any
@@ -77,11 +127,30 @@
 	expiresAt time.Time
 }
 
-// Revision returns the revision of the known state.
-func (c *Core) Revision() Revision { return c.revision }
+// Revision returns the revision up to which every change of a section is known.
+func (c *Core) Revision(s Section) Revision { return c.sections[s].revision }
 
-// Loaded reports whether a complete state has been applied.
-func (c *Core) Loaded() bool { return c.loaded }
+// Changed returns the revision of the newest known change in each section.
+func (c *Core) Changed() Revisions {
+	var r Revisions
+	for s := range c.sections {
+		r[s] = c.sections[s].changed
+	}
+	return r
+}
+
+// Loaded reports whether a complete state of a section has been applied.
+func (c *Core) Loaded(s Section) bool { return c.sections[s].loaded }
+
+// AllLoaded reports whether complete states of all sections have been applied.
+func (c *Core) AllLoaded() bool {
+	for s := range c.sections {
+		if !c.sections[s].loaded {
+			return false
+		}
+	}
+	return true
+}
 
 // SetStoreReachable records whether the store responds, and reports whether that
 // changed.
@@ -103,53 +172,61 @@
 	return !c.storeUnreachable && now.Sub(c.reachableSince) >= ExpiryGrace
 }
 
-// ApplyState applies a complete state as of a revision, unless it is older than
-// the known state. If settled is true, entries missing from it are deleted;
-// otherwise missing upstreams may only have expired and are kept for ExpiryGrace.
-func (c *Core) ApplyState(now time.Time, entries []Entry, revision Revision, settled bool) []SkippedEntry {
-	if c.loaded && revision < c.revision {
+// ApplyState applies a complete state of a section, unless it is older than the
+// known state. Upstreams missing from a state that is not settled are kept for
+// ExpiryGrace.
+func (c *Core) ApplyState(now time.Time, id Section, state State) []SkippedEntry {
+	s := &c.sections[id]
+	if s.loaded && state.Revision < s.revision {
 		return nil
 	}
-	present := make(map[string]bool, len(entries))
+	present := make(map[string]bool, len(state.Entries))
 	var skipped []SkippedEntry
-	for _, e := range entries {
+	for _, e := range state.Entries {
 		present[e.Key] = true
-		skipped = c.put(e, skipped)
+		skipped = c.put(s, e, skipped)
 	}
-	for key, it := range c.items {
-		if !present[key] && it.entry.Revision <= revision {
-			c.remove(now, key, settled)
+	for key, it := range s.items {
+		if !present[key] && it.entry.Revision <= state.Revision {
+			s.remove(now, key, state.Settled)
 		}
 	}
-	c.revision, c.loaded = max(c.revision, revision), true
+	s.loaded = true
+	s.advance(state.Revision, state.Changed)
 	return skipped
 }
 
-// ApplyChanges applies changes, which must be in the order of their revisions.
-// The state is then as of the given revision.
-func (c *Core) ApplyChanges(now time.Time, changes []Entry, revision Revision) []SkippedEntry {
+// ApplyChanges applies changes of a section, which must be in the order of their
+// revisions. The state is then as of the given revision.
+func (c *Core) ApplyChanges(now time.Time, id Section, changes []Entry, revision Revision) []SkippedEntry {
+	s := &c.sections[id]
 	var skipped []SkippedEntry
 	for _, e := range changes {
+		s.advance(e.Revision, e.Revision)
 		if e.Deleted {
-			if it, ok := c.items[e.Key]; ok && it.entry.Revision < e.Revision {
-				c.remove(now, e.Key, c.Settled(now))
+			if it, ok := s.items[e.Key]; ok && it.entry.Revision < e.Revision {
+				s.remove(now, e.Key, c.Settled(now))
 			}
 			continue
 		}
-		skipped = c.put(e, skipped)
+		skipped = c.put(s, e, skipped)
 	}
-	c.revision = max(c.revision, revision)
+	s.advance(revision, 0)
 	return skipped
 }
 
-func (c *Core) put(e Entry, skipped []SkippedEntry) []SkippedEntry {
-	if c.items == nil {
-		c.items = make(map[string]item)
+func (s *section) advance(revision, changed Revision) {
+	s.revision, s.changed = max(s.revision, revision), max(s.changed, changed)
+}
+
+func (c *Core) put(s *section, e Entry, skipped []SkippedEntry) []SkippedEntry {
+	if s.items == nil {
+		s.items = make(map[string]item)
 	}
-	known, ok := c.items[e.Key]
+	known, ok := s.items[e.Key]
 	if ok && known.entry.Revision >= e.Revision {
 		known.expiresAt = time.Time{}
-		c.items[e.Key] = known
+		s.items[e.Key] = known
 		return skipped
 	}
 	decoded, err := c.Decode(e.Key, e.Value)
@@ -159,7 +236,7 @@
 	if t, isTable := decoded.(*route.Table); isTable {
 		skipped = c.applyTable(t, e.Key, skipped)
 	}
-	c.items[e.Key] = item{entry: e, decoded: decoded}
+	s.items[e.Key] = item{entry: e, decoded: decoded}
 	return skipped
 }
 
@@ -176,23 +253,23 @@
 
 // remove deletes an entry. Unless settled is true, an upstream may only have
 // expired and is kept for ExpiryGrace.
-func (c *Core) remove(now time.Time, key string, settled bool) {
-	it := c.items[key]
+func (s *section) remove(now time.Time, key string, settled bool) {
+	it := s.items[key]
 	if _, upstream := it.decoded.(route.Upstream); upstream && !settled {
 		if it.expiresAt.IsZero() {
 			it.expiresAt = now.Add(ExpiryGrace)
-			c.items[key] = it
+			s.items[key] = it
 		}
 		return
 	}
-	delete(c.items, key)
+	delete(s.items, key)
 }
 
 // NextExpiry returns the earliest time at which a kept upstream expires, or zero
 // if none is pending.
 func (c *Core) NextExpiry() time.Time {
 	var next time.Time
-	for _, it := range c.items {
+	for _, it := range c.sections[Upstreams].items {
 		if !it.expiresAt.IsZero() && (next.IsZero() || it.expiresAt.Before(next)) {
 			next = it.expiresAt
 		}
@@ -203,32 +280,37 @@
 // View returns the state in force at a time. It drops upstreams that have expired
 // by then, except while the store is unreachable.
 func (c *Core) View(now time.Time) *route.View {
-	v := &route.View{Revision: int64(c.revision), Table: c.table, DataCentresOut: make(map[route.DataCentre]bool)}
-	for key, it := range c.items {
-		if !it.expiresAt.IsZero() && !now.Before(it.expiresAt) && !c.storeUnreachable {
-			delete(c.items, key)
-			continue
-		}
-		switch d := it.decoded.(type) {
-		case route.Upstream:
-			v.Upstreams = append(v.Upstreams, d)
-		case DataCentreOut:
-			v.DataCentresOut[d.DataCentre] = true
+	v := &route.View{Table: c.table, DataCentresOut: make(map[route.DataCentre]bool)}
+	for n := range c.sections {
+		s := &c.sections[n]
+		v.Revision = max(v.Revision, int64(s.changed))
+		for key, it := range s.items {
+			if !it.expiresAt.IsZero() && !now.Before(it.expiresAt) && !c.storeUnreachable {
+				delete(s.items, key)
+				continue
+			}
+			switch d := it.decoded.(type) {
+			case route.Upstream:
+				v.Upstreams = append(v.Upstreams, d)
+			case DataCentreOut:
+				v.DataCentresOut[d.DataCentre] = true
+			}
 		}
 	}
 	slices.SortFunc(v.Upstreams, func(a, b route.Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return v
 }
 
-// Entries returns the published entries sorted by key, to be sent to another
-// gateway. Entries that may have expired are left out.
-func (c *Core) Entries() []Entry {
-	var out []Entry
-	for _, it := range c.items {
+// State returns the state of a section, to be sent to another gateway. Entries that
+// may have expired are left out.
+func (c *Core) State(now time.Time, id Section) State {
+	s := &c.sections[id]
+	out := State{Revision: s.revision, Changed: s.changed, Settled: c.Settled(now)}
+	for _, it := range s.items {
 		if it.expiresAt.IsZero() {
-			out = append(out, it.entry)
+			out.Entries = append(out.Entries, it.entry)
 		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out.Entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
--- a/internal/catalog/core_test.go
+++ b/internal/catalog/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -57,11 +58,46 @@
 	return b.String()
 }
 
+// sectionOf returns the section of a key of decode.
+func sectionOf(key string) Section {
+	switch kind, _, _ := strings.Cut(key, "/"); kind {
+	case "up":
+		return Upstreams
+	case "out":
+		return DataCentresOut
+	}
+	return RoutingTable
+}
+
+// entriesIn returns the entries of a section.
+func entriesIn(s Section, entries []Entry) []Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return sectionOf(e.Key) != s })
+}
+
+// applyState applies a state of all sections.
+func applyState(c *Core, now time.Time, entries []Entry, r Revision, settled bool) []SkippedEntry {
+	var skipped []SkippedEntry
+	for s := range SectionCount {
+		state := State{Entries: entriesIn(s, entries), Revision: r, Changed: r, Settled: settled}
+		skipped = append(skipped, c.ApplyState(now, s, state)...)
+	}
+	return skipped
+}
+
+// applyChanges applies changes of all sections.
+func applyChanges(c *Core, now time.Time, changes []Entry, r Revision) []SkippedEntry {
+	var skipped []SkippedEntry
+	for s := range SectionCount {
+		skipped = append(skipped, c.ApplyChanges(now, s, entriesIn(s, changes), r)...)
+	}
+	return skipped
+}
+
 // settledCore returns a core that has been in contact with the store for a long
 // time.
 func settledCore(entries ...Entry) *Core {
 	c := &Core{Decode: decode}
-	c.ApplyState(start, entries, 10, true)
+	applyState(c, start, entries, 10, true)
 	return c
 }
 
@@ -73,25 +109,25 @@
 		want    string
 		skipped int
 	}{
-		{"leaving", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("up/a", "leaving", 11)}, 11) }, "a-b v3", 0},
-		{"deleted", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{deleted("up/a", 11)}, 11) }, "b v3", 0},
-		{"deletion older than the entry", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{deleted("up/a", 2)}, 11) }, "ab v3", 0},
+		{"leaving", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("up/a", "leaving", 11)}, 11) }, "a-b v3", 0},
+		{"deleted", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{deleted("up/a", 11)}, 11) }, "b v3", 0},
+		{"deletion older than the entry", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{deleted("up/a", 2)}, 11) }, "ab v3", 0},
 		{"out and in", func(c *Core) []SkippedEntry {
-			c.ApplyChanges(start, []Entry{entry("out/x", "", 11)}, 11)
-			return c.ApplyChanges(start, []Entry{deleted("out/x", 12)}, 12)
+			applyChanges(c, start, []Entry{entry("out/x", "", 11)}, 11)
+			return applyChanges(c, start, []Entry{deleted("out/x", 12)}, 12)
 		}, "ab v3", 0},
-		{"out", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("out/x", "", 11)}, 11) }, "ab out:x v3", 0},
-		{"undecodable upstream", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("up/a", "bad", 11)}, 11) }, "b v3", 1},
-		{"undecodable table", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("table", "bad", 11)}, 11) }, "ab v3", 1},
-		{"older version in a newer entry", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("table", "2", 11)}, 11) }, "ab v3", 1},
-		{"older entry of another gateway", func(c *Core) []SkippedEntry { return c.ApplyChanges(start, []Entry{entry("table", "4", 1)}, 10) }, "ab v3", 0},
-		{"older state of another gateway", func(c *Core) []SkippedEntry { return c.ApplyState(start, []Entry{entry("table", "9", 9)}, 9, true) }, "ab v3", 0},
+		{"out", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("out/x", "", 11)}, 11) }, "ab out:x v3", 0},
+		{"undecodable upstream", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("up/a", "bad", 11)}, 11) }, "b v3", 1},
+		{"undecodable table", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("table", "bad", 11)}, 11) }, "ab v3", 1},
+		{"older version in a newer entry", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("table", "2", 11)}, 11) }, "ab v3", 1},
+		{"older entry of another gateway", func(c *Core) []SkippedEntry { return applyChanges(c, start, []Entry{entry("table", "4", 1)}, 10) }, "ab v3", 0},
+		{"older state of another gateway", func(c *Core) []SkippedEntry { return applyState(c, start, []Entry{entry("table", "9", 9)}, 9, true) }, "ab v3", 0},
 		{"newer state of another gateway", func(c *Core) []SkippedEntry {
-			return c.ApplyState(start, []Entry{entry("table", "4", 12), entry("up/b", "", 4), entry("up/c", "", 12)}, 12, true)
+			return applyState(c, start, []Entry{entry("table", "4", 12), entry("up/b", "", 4), entry("up/c", "", 12)}, 12, true)
 		}, "bc v4", 0},
 		{"written while a state was read", func(c *Core) []SkippedEntry {
-			c.ApplyChanges(start, []Entry{entry("up/c", "", 14)}, 14)
-			return c.ApplyState(start, []Entry{entry("table", "3", 2)}, 14, true)
+			applyChanges(c, start, []Entry{entry("up/c", "", 14)}, 14)
+			return applyState(c, start, []Entry{entry("table", "3", 2)}, 14, true)
 		}, " v3", 0},
 	}
 	for _, tt := range tests {
@@ -112,10 +148,10 @@
 	assert.Assert(t, c.SetStoreReachable(start, false))
 	back := start.Add(5 * time.Second)
 	assert.Assert(t, c.SetStoreReachable(back, true))
-	c.ApplyChanges(back, []Entry{deleted("up/a", 11), deleted("up/b", 12)}, 12)
+	applyChanges(c, back, []Entry{deleted("up/a", 11), deleted("up/b", 12)}, 12)
 	assert.Equal(t, viewText(c.View(back)), "ab")
 	soon := back.Add(time.Second)
-	c.ApplyChanges(soon, []Entry{entry("up/a", "", 13)}, 13)
+	applyChanges(c, soon, []Entry{entry("up/a", "", 13)}, 13)
 	assert.Equal(t, c.NextExpiry(), back.Add(ExpiryGrace))
 	assert.Equal(t, viewText(c.View(back.Add(ExpiryGrace))), "a")
 	assert.Assert(t, c.NextExpiry().IsZero())
@@ -131,7 +167,19 @@
 	}{{true, "b"}, {false, "ab"}} {
 		c := settledCore(entry("up/a", "", 3), entry("up/b", "", 4))
 		c.SetStoreReachable(start, false)
-		c.ApplyState(start, []Entry{entry("up/b", "", 4)}, 12, tt.settled)
+		applyState(c, start, []Entry{entry("up/b", "", 4)}, 12, tt.settled)
 		assert.Equal(t, viewText(c.View(start)), tt.want)
 	}
 }
+
+// A revision of one section says nothing about the others: a section whose own
+// changes have not arrived must not skip them.
+func TestSectionsHaveRevisionsOfTheirOwn(t *testing.T) {
+	c := settledCore(entry("table", "3", 2), entry("up/a", "", 3))
+	c.ApplyChanges(start, RoutingTable, []Entry{entry("table", "4", 15)}, 15)
+	assert.Equal(t, c.Revision(RoutingTable), Revision(15))
+	assert.Equal(t, c.Revision(Upstreams), Revision(10))
+	c.ApplyState(start, Upstreams, State{Entries: []Entry{entry("up/a", "leaving", 12)}, Revision: 12, Changed: 12})
+	assert.Equal(t, viewText(c.View(start)), "a- v4")
+	assert.Equal(t, c.Changed(), Revisions{RoutingTable: 15, Upstreams: 12, DataCentresOut: 10})
+}
--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -19,9 +19,10 @@
 // response doesn't begin in time, or when no further byte arrives for
 // stallTimeout.
 type read struct {
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	kind   string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	section Section
+	kind    string
 
 	mu          sync.Mutex
 	timer       *time.Timer
@@ -38,8 +39,8 @@
 
 // startRead starts a read whose response must begin within the given time. The
 // caller must call end.
-func startRead(ctx context.Context, kind string, responseTimeout time.Duration) *read {
-	r := &read{kind: kind}
+func startRead(ctx context.Context, s Section, kind string, responseTimeout time.Duration) *read {
+	r := &read{section: s, kind: kind}
 	r.ctx, r.cancel = context.WithCancelCause(ctx)
 	r.timer = time.AfterFunc(responseTimeout, r.expire)
 	return r
@@ -100,11 +101,11 @@
 	switch {
 	case err == nil:
 		t.mu.Lock()
-		t.lastRead = done
+		t.followers[r.section].lastRead = done
 		t.mu.Unlock()
 	case done.bytes > 0 && ctx.Err() == nil:
 		t.readsCut.Add(1)
-		t.Log.WriteThrottled(event.ReadCut, r.kind, "bytes", done.bytes, "after_ms", done.duration.Milliseconds(),
+		t.Log.WriteThrottled(event.ReadCut, r.section.String(), "read", r.kind, "bytes", done.bytes, "after_ms", done.duration.Milliseconds(),
 			"error", err, "cause", cause)
 	}
 }
--- a/internal/catalog/stats.go
+++ b/internal/catalog/stats.go
@@ -27,36 +27,42 @@
 func (t *Task) Stats() Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Stats{
-		Behind: t.behind(time.Now()), BytesReceived: t.bytesReceived.Load(),
-		ReadsCut: t.readsCut.Load(), FetchesFailed: t.fetchesFailed.Load(),
+	s := Stats{BytesReceived: t.bytesReceived.Load(), ReadsCut: t.readsCut.Load(), FetchesFailed: t.fetchesFailed.Load()}
+	for section := range SectionCount {
+		s.Behind = max(s.Behind, t.behind(time.Now(), section))
 	}
+	return s
 }
 
-// behind returns how long another gateway has reported newer state.
-func (t *Task) behind(now time.Time) time.Duration {
-	if t.peerRevision <= t.core.Revision() {
+// behind returns how long another gateway has reported newer state of a section.
+func (t *Task) behind(now time.Time, s Section) time.Duration {
+	f := &t.followers[s]
+	if f.peerRevision <= t.core.Revision(s) {
 		return 0
 	}
-	return now.Sub(t.peerRevisionSince)
+	return now.Sub(f.peerRevisionSince)
 }
 
-// reportBehind logs once that another gateway has had newer state for
+// reportBehind logs once that another gateway has had newer state of a section for
 // behindAfter.
-func (t *Task) reportBehind(now time.Time, address string, r Revision) {
-	if t.behindReported || t.behind(now) < behindAfter {
+func (t *Task) reportBehind(now time.Time, s Section, address string, r Revision) {
+	f := &t.followers[s]
+	if f.behindReported || t.behind(now, s) < behindAfter {
 		return
 	}
-	t.behindReported = true
-	t.Log.Write(event.StateBehind, "gateway", address, "its_revision", uint64(r), "revision", uint64(t.core.Revision()),
-		"behind_ms", t.behind(now).Milliseconds())
+	f.behindReported = true
+	t.Log.Write(event.StateBehind, "section", s, "gateway", address, "its_revision", uint64(r),
+		"revision", uint64(t.core.Revision(s)), "behind_ms", t.behind(now, s).Milliseconds())
 }
 
 // reportCaughtUp logs the end of what reportBehind logged.
 func (t *Task) reportCaughtUp(now time.Time) {
-	if !t.behindReported || t.behind(now) > 0 {
-		return
+	for s := range SectionCount {
+		f := &t.followers[s]
+		if f.behindReported && t.behind(now, s) == 0 {
+			f.behindReported = false
+			t.Log.Write(event.StateCaughtUp, "section", s, "revision", uint64(t.core.Revision(s)),
+				"behind_ms", now.Sub(f.peerRevisionSince).Milliseconds())
+		}
 	}
-	t.behindReported = false
-	t.Log.Write(event.StateCaughtUp, "revision", uint64(t.core.Revision()), "behind_ms", now.Sub(t.peerRevisionSince).Milliseconds())
 }
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -42,10 +44,6 @@
 	// calls.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
-	// fetchDelay is how long another gateway may report a newer revision before
-	// its state is fetched: usually the response of the store itself is already
-	// on its way.
-	fetchDelay = 200 * time.Millisecond
 )
 
 // ErrCompacted reports that the store no longer has the history after the
@@ -55,28 +53,42 @@
 // Store is read access to the store of the platform, which gateways cannot write
 // to. Its methods call received with the number of bytes as they arrive.
 type Store interface {
-	// Range returns all entries, and a revision from which a watch misses no
-	// change.
-	Range(ctx context.Context, received func(bytes int)) ([]Entry, Revision, error)
-	// Watch returns the changes after a revision, and the revision that they lead
-	// to. It waits for changes no longer than the given time.
-	Watch(ctx context.Context, after Revision, wait time.Duration, received func(bytes int)) ([]Entry, Revision, error)
+	// Range returns all entries of a section, and a revision from which a watch
+	// misses no change.
+	Range(ctx context.Context, s Section, received func(bytes int)) ([]Entry, Revision, error)
+	// Watch returns the changes of a section after a revision, and the revision
+	// that they lead to. It waits for changes no longer than the given time.
+	Watch(ctx context.Context, s Section, after Revision, wait time.Duration, received func(bytes int)) ([]Entry, Revision, error)
 }
 
 // Task follows the store. Its exported fields must be set before Run.
 type Task struct {
 	Store  Store
 	Decode func(key string, value []byte) (any, error)
-	// Fetch requests the published state from another gateway. It calls received
+	// Fetch requests the state of a section from another gateway. It calls received
 	// with the number of bytes as they arrive.
-	Fetch func(ctx context.Context, address string, newerThan Revision, received func(bytes int)) (*wire.PublishedState, error)
+	Fetch func(ctx context.Context, address string, r *wire.FetchRequest, received func(bytes int)) (*wire.PublishedState, error)
 	Log   *event.Log
 	// OnChange, if set, is called with each new view.
 	OnChange func(*route.View)
 
-	mu   sync.Mutex
-	core Core
-	view atomic.Pointer[route.View]
+	mu        sync.Mutex
+	core      Core
+	view      atomic.Pointer[route.View]
+	followers [SectionCount]follower
+	// relaxed reports that enough other gateways watch the store closely.
+	relaxed bool
+	timer   *time.Timer
+
+	bytesReceived, readsCut, fetchesFailed atomic.Uint64
+}
+
+// follower is the progress of reading one section.
+type follower struct {
+	// watch is the current watch, or nil.
+	watch *read
+	// lastRead is the last complete read that the store answered.
+	lastRead completedRead
 	// fetching prevents concurrent fetches.
 	fetching bool
 	// peerRevision is the first revision reported by another gateway that was
@@ -84,21 +96,11 @@
 	// Reports of revisions that are not newer change neither.
 	peerRevision      Revision
 	peerRevisionSince time.Time
-	// relaxed reports that enough other gateways watch the store closely.
-	relaxed bool
-	// watch is the current watch, or nil.
-	watch *read
-	timer *time.Timer
-	// lastRead is the last complete read that the store answered.
-	lastRead completedRead
 	// behindReported reports that StateBehind was logged.
 	behindReported bool
-
-	bytesReceived, readsCut, fetchesFailed atomic.Uint64
 }
 
-// View returns the state in force. It is empty until the first state has been
-// applied.
+// View returns the state in force. It is empty until all sections have been read.
 func (t *Task) View() *route.View {
 	if v := t.view.Load(); v != nil {
 		return v
@@ -106,27 +108,38 @@
 	return &route.View{}
 }
 
-// Revision returns the revision of the known state.
-func (t *Task) Revision() Revision {
+// Revisions returns the revision of the newest known change in each section.
+func (t *Task) Revisions() Revisions {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Revision()
+	return t.core.Changed()
 }
 
-// Run follows the store until ctx is done. It retries failed calls with
-// exponential backoff and always returns nil.
+// Run follows the store until ctx is done, and always returns nil.
 func (t *Task) Run(ctx context.Context) error {
+	var g errgroup.Group
+	for s := range SectionCount {
+		g.Go(func() error {
+			t.follow(ctx, s)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// follow reads a section until ctx is done. It retries failed calls with
+// exponential backoff.
+func (t *Task) follow(ctx context.Context, s Section) {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		if err := t.poll(ctx); err != nil && ctx.Err() == nil {
-			t.recordReachability(err)
+		if err := t.poll(ctx, s); err != nil && ctx.Err() == nil {
+			t.recordReachability(s, err)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = firstBackoff
 	}
-	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -138,28 +151,28 @@
 	}
 }
 
-// poll makes one watch call, or reads the complete state if there is none yet or
-// the store has dropped the history.
-func (t *Task) poll(ctx context.Context) error {
+// poll makes one watch call, or reads the complete section if it is not known yet
+// or the store has dropped the history.
+func (t *Task) poll(ctx context.Context, s Section) error {
 	t.mu.Lock()
-	if !t.core.Loaded() {
+	if !t.core.Loaded(s) {
 		t.mu.Unlock()
-		return t.load(ctx)
+		return t.load(ctx, s)
 	}
-	at := t.core.Revision()
+	at := t.core.Revision(s)
 	wait, pause := t.watchTiming()
-	r := startRead(ctx, "watch", wait+answerTimeout)
-	t.watch = r
+	r := startRead(ctx, s, "watch", wait+answerTimeout)
+	t.followers[s].watch = r
 	t.mu.Unlock()
-	changes, revision, err := t.Store.Watch(r.ctx, at, wait, r.receive)
+	changes, revision, err := t.Store.Watch(r.ctx, s, at, wait, r.receive)
 	t.endRead(ctx, r, err)
 	switch {
 	case errors.Is(err, ErrCompacted):
-		t.Log.WriteThrottled(event.HistoryDropped, "store", "revision", uint64(at))
+		t.Log.WriteThrottled(event.HistoryDropped, s.String(), "revision", uint64(at))
 		// A store that drops all history immediately must not be called in a loop
 		// without a delay.
 		sleep(ctx, firstBackoff)
-		return t.load(ctx)
+		return t.load(ctx, s)
 	case err != nil && r.interrupted():
 		// The next watch uses a new connection and shows whether the store
 		// responds.
@@ -167,8 +180,8 @@
 	case err != nil:
 		return err
 	}
-	t.recordReachability(nil)
-	t.apply(func(c *Core, now time.Time) []SkippedEntry { return c.ApplyChanges(now, changes, revision) })
+	t.recordReachability(s, nil)
+	t.apply(func(c *Core, now time.Time) []SkippedEntry { return c.ApplyChanges(now, s, changes, revision) })
 	if len(changes) > 0 {
 		sleep(ctx, pause)
 	}
@@ -189,8 +202,8 @@
 }
 
 // SetRelaxed sets whether enough other gateways watch the store closely. When
-// they no longer do, it interrupts the current long watch, as no other gateway
-// would reveal that its connection has silently failed.
+// they no longer do, it interrupts the current long watches, as no other gateway
+// would reveal that their connections have silently failed.
 func (t *Task) SetRelaxed(relaxed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -198,39 +211,48 @@
 		return
 	}
 	t.relaxed = relaxed
-	t.Log.Write(event.WatchChanged, "closely", !relaxed, "revision", uint64(t.core.Revision()))
-	if !relaxed {
-		t.interruptWatch()
+	t.Log.Write(event.WatchChanged, "closely", !relaxed)
+	if relaxed {
+		return
+	}
+	for s := range t.followers {
+		t.followers[s].interruptWatch()
 	}
 }
 
 // interruptWatch cancels the current watch, so that a new one starts, unless its
 // response is arriving.
-func (t *Task) interruptWatch() {
-	if t.watch != nil {
-		t.watch.interruptUnlessReceiving()
+func (f *follower) interruptWatch() {
+	if f.watch != nil {
+		f.watch.interruptUnlessReceiving()
 	}
 }
 
-// load reads the complete state from the store.
-func (t *Task) load(ctx context.Context) error {
-	r := startRead(ctx, "range", answerTimeout)
-	entries, at, err := t.Store.Range(r.ctx, r.receive)
+// load reads a complete section from the store.
+func (t *Task) load(ctx context.Context, s Section) error {
+	r := startRead(ctx, s, "range", answerTimeout)
+	entries, at, err := t.Store.Range(r.ctx, s, r.receive)
 	t.endRead(ctx, r, err)
 	if err != nil {
 		return err
 	}
-	t.recordReachability(nil)
-	t.apply(func(c *Core, now time.Time) []SkippedEntry { return c.ApplyState(now, entries, at, c.Settled(now)) })
+	t.recordReachability(s, nil)
+	t.apply(func(c *Core, now time.Time) []SkippedEntry {
+		return c.ApplyState(now, s, State{Entries: entries, Revision: at, Changed: at, Settled: c.Settled(now)})
+	})
 	return nil
 }
 
 // recordReachability records from the error of a call whether the store responds,
-// and logs a change.
-func (t *Task) recordReachability(err error) {
+// and logs a change. Only the small responses of Upstreams count: the transfer of a
+// large table may fail for its size.
+func (t *Task) recordReachability(s Section, err error) {
+	if s != Upstreams {
+		return
+	}
 	t.mu.Lock()
 	changed := t.core.SetStoreReachable(time.Now(), err == nil)
-	at := t.core.Revision()
+	at := t.core.Revision(s)
 	t.mu.Unlock()
 	switch {
 	case !changed:
@@ -241,7 +263,7 @@
 	}
 }
 
-// apply updates the core and publishes the new view.
+// apply updates the core and publishes the new view once all sections are known.
 func (t *Task) apply(change func(*Core, time.Time) []SkippedEntry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -251,13 +273,17 @@
 	for _, e := range change(&t.core, now) {
 		t.Log.WriteThrottled(event.EntrySkipped, e.Key, "key", e.Key, "error", e.Cause)
 	}
+	t.reportCaughtUp(now)
+	if !t.core.AllLoaded() {
+		return
+	}
 	v := t.core.View(now)
 	t.view.Store(v)
-	t.reportCaughtUp(now)
 	if v.Table != nil && v.Table != before.Table {
-		t.Log.Write(event.TableApplied, "revision", uint64(v.Revision), "version", int64(v.Table.Version),
-			"routes", len(v.Table.Routes), "decode_ms", time.Since(now).Milliseconds(), "read_bytes", t.lastRead.bytes,
-			"read_ms", t.lastRead.duration.Milliseconds())
+		last := t.followers[RoutingTable].lastRead
+		t.Log.Write(event.TableApplied, "revision", uint64(t.core.Changed()[RoutingTable]), "version", int64(v.Table.Version),
+			"routes", len(v.Table.Routes), "decode_ms", time.Since(now).Milliseconds(), "read_bytes", last.bytes,
+			"read_ms", last.duration.Milliseconds())
 	}
 	if t.OnChange != nil {
 		t.OnChange(v)
@@ -288,73 +314,3 @@
 	defer t.mu.Unlock()
 	return t.core.StoreUnreachable()
 }
-
-// ObserveRevision records the revision that another gateway reports. If newer
-// revisions have been reported for fetchDelay, it interrupts the current watch
-// and fetches the state from that gateway.
-func (t *Task) ObserveRevision(ctx context.Context, address string, r Revision) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	at := t.core.Revision()
-	switch {
-	case r <= at:
-		return
-	case t.peerRevision <= at:
-		t.peerRevision, t.peerRevisionSince = r, now
-		return
-	}
-	t.reportBehind(now, address, r)
-	switch {
-	case t.fetching || now.Sub(t.peerRevisionSince) < fetchDelay:
-		return
-	}
-	t.fetching = true
-	t.interruptWatch()
-	go t.fetch(ctx, address)
-}
-
-// fetch requests the state of another gateway and applies it.
-func (t *Task) fetch(ctx context.Context, address string) {
-	defer func() {
-		t.mu.Lock()
-		t.fetching = false
-		t.mu.Unlock()
-	}()
-	r := startRead(ctx, "fetch", stallTimeout)
-	state, err := t.Fetch(r.ctx, address, t.Revision(), r.receive)
-	cause := context.Cause(r.ctx)
-	done := r.end()
-	if err != nil {
-		t.fetchesFailed.Add(1)
-		t.Log.WriteThrottled(event.FetchFailed, address, "error", err, "cause", cause, "bytes", done.bytes,
-			"after_ms", done.duration.Milliseconds())
-		return
-	}
-	entries := make([]Entry, 0, len(state.Entries))
-	for _, e := range state.Entries {
-		entries = append(entries, Entry{Key: e.Key, Value: e.Value, Revision: Revision(e.Revision)})
-	}
-	if len(entries) == 0 {
-		return
-	}
-	t.Log.Write(event.FetchedState, "from", address, "revision", state.Revision)
-	t.apply(func(c *Core, now time.Time) []SkippedEntry {
-		return c.ApplyState(now, entries, Revision(state.Revision), state.Settled)
-	})
-}
-
-// State returns the published entries with their revision, or only the revision
-// if it is not newer than the given one.
-func (t *Task) State(newerThan Revision) *wire.PublishedState {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := &wire.PublishedState{Revision: uint64(t.core.Revision()), Settled: t.core.Settled(time.Now())}
-	if t.core.Revision() <= newerThan {
-		return s
-	}
-	for _, e := range t.core.Entries() {
-		s.Entries = append(s.Entries, &wire.PublishedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
-	}
-	return s
-}
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,7 +28,8 @@
 	silent bool
 	// compactedBefore makes watches from an older revision return ErrCompacted.
 	compactedBefore Revision
-	calls           int
+	// calls counts the calls by section.
+	calls [SectionCount]int
 }
 
 func (s *fakeStore) set(change func()) {
@@ -50,20 +52,20 @@
 	})
 }
 
-func (s *fakeStore) Range(_ context.Context, _ func(int)) ([]Entry, Revision, error) {
+func (s *fakeStore) Range(_ context.Context, section Section, _ func(int)) ([]Entry, Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
-	return append([]Entry(nil), s.entries...), s.at, s.down
+	s.calls[section]++
+	return entriesIn(section, s.entries), s.at, s.down
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration, _ func(int)) ([]Entry, Revision, error) {
-	s.set(func() { s.calls++ })
+func (s *fakeStore) Watch(ctx context.Context, section Section, after Revision, wait time.Duration, _ func(int)) ([]Entry, Revision, error) {
+	s.set(func() { s.calls[section]++ })
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
 		var changes []Entry
-		for _, e := range s.entries {
+		for _, e := range entriesIn(section, s.entries) {
 			if e.Revision > after {
 				changes = append(changes, e)
 			}
@@ -85,6 +87,14 @@
 	}
 }
 
+// mostCalls returns the number of calls for the section that had most.
+func (s *fakeStore) mostCalls() int { return slices.Max(s.calls[:]) }
+
+// observe reports a revision of all sections from another gateway.
+func observe(ctx context.Context, task *Task, address string, r Revision) {
+	task.ObserveRevisions(ctx, address, Revisions{r, r, r})
+}
+
 // runTask runs a test against a started task with a fake store, in fake time.
 func runTask(t *testing.T, test func(t *testing.T, s *fakeStore, task *Task)) {
 	t.Helper()
@@ -145,14 +155,14 @@
 		{"change arrives on its own watch", false, func(*fakeStore, *Task) {}},
 		{"another gateway reports the change", true, func(s *fakeStore, task *Task) {
 			for range 2 {
-				task.ObserveRevision(context.Background(), "10.1.0.2:1", s.at)
+				observe(context.Background(), task, "10.1.0.2:1", s.at)
 				time.Sleep(400 * time.Millisecond)
 			}
 		}},
 		{"another gateway reports the change, a third reports an old revision", true, func(s *fakeStore, task *Task) {
 			for range 2 {
-				task.ObserveRevision(context.Background(), "10.1.0.2:1", s.at)
-				task.ObserveRevision(context.Background(), "10.1.0.3:1", 1)
+				observe(context.Background(), task, "10.1.0.2:1", s.at)
+				observe(context.Background(), task, "10.1.0.3:1", 1)
 				time.Sleep(400 * time.Millisecond)
 			}
 		}},
@@ -161,14 +171,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
-				task.Fetch = func(context.Context, string, Revision, func(int)) (*wire.PublishedState, error) {
+				task.Fetch = func(context.Context, string, *wire.FetchRequest, func(int)) (*wire.PublishedState, error) {
 					return nil, errors.New("not reached")
 				}
 				task.SetRelaxed(true)
 				time.Sleep(watchWait)
-				s.set(func() { s.calls = 0 })
+				s.set(func() { s.calls = [SectionCount]int{} })
 				time.Sleep(quiet)
-				s.set(func() { assert.Assert(t, s.calls <= 1+int(quiet/relaxedWait), "%d calls", s.calls) })
+				s.set(func() { assert.Assert(t, s.mostCalls() <= 1+int(quiet/relaxedWait), "calls: %v", s.calls) })
 				s.set(func() { s.silent = tt.silent })
 				time.Sleep(relaxedWait + answerTimeout)
 				s.put("table", "2")
@@ -189,7 +199,7 @@
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
 		task.SetRelaxed(true)
 		time.Sleep(watchWait)
-		s.set(func() { s.calls = 0 })
+		s.set(func() { s.calls = [SectionCount]int{} })
 		for range changes {
 			s.put("up/b", "")
 			time.Sleep(50 * time.Millisecond)
@@ -197,7 +207,7 @@
 		s.put("table", "2")
 		time.Sleep(applyBound / 2)
 		assert.Equal(t, viewText(task.View()), "ab v2")
-		s.set(func() { assert.Assert(t, s.calls <= changes/5, "%d calls", s.calls) })
+		s.set(func() { assert.Assert(t, s.mostCalls() <= changes/5, "calls: %v", s.calls) })
 	})
 }
 
@@ -246,10 +256,10 @@
 // calls.
 func TestStoreDown(t *testing.T) {
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
-		s.set(func() { s.down, s.calls = errors.New("busy"), 0 })
+		s.set(func() { s.down, s.calls = errors.New("busy"), [SectionCount]int{} })
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, viewText(task.View()), "a v1")
-		s.set(func() { assert.Assert(t, s.calls <= 40, "%d calls", s.calls) })
+		s.set(func() { assert.Assert(t, s.mostCalls() <= 40, "calls: %v", s.calls) })
 		s.put("table", "2")
 		s.set(func() { s.down = nil })
 		time.Sleep(applyBound)
@@ -260,19 +270,18 @@
 // A gateway that the store rejects fetches newer state from another gateway.
 func TestFetchesStateFromAnotherGateway(t *testing.T) {
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
-		other := &Core{Decode: decode}
-		other.ApplyState(time.Now(), []Entry{entry("table", "5", 9)}, 9, true)
+		other := &Task{}
+		other.core.Decode = decode
+		applyState(&other.core, time.Now(), []Entry{entry("table", "5", 9)}, 9, true)
 		s.set(func() { s.down = errors.New("busy") })
-		task.Fetch = func(context.Context, string, Revision, func(int)) (*wire.PublishedState, error) {
-			return &wire.PublishedState{Revision: 9, Settled: true, Entries: []*wire.PublishedEntry{
-				{Key: "table", Value: []byte("5"), Revision: 9},
-			}}, nil
+		task.Fetch = func(_ context.Context, _ string, r *wire.FetchRequest, _ func(int)) (*wire.PublishedState, error) {
+			return other.State(r), nil
 		}
 		for range 3 {
-			task.ObserveRevision(t.Context(), "10.1.0.2:1", 9)
+			observe(t.Context(), task, "10.1.0.2:1", 9)
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, viewText(task.View()), " v5")
-		assert.Equal(t, task.Revision(), Revision(9))
+		assert.Equal(t, task.Revisions(), Revisions{9, 9, 9})
 	})
 }
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -116,9 +116,7 @@
 		Store:  p.Store,
 		Decode: p.Decode,
 		Log:    p.Log,
-		Fetch: func(ctx context.Context, address string, newerThan catalog.Revision, received func(bytes int)) (*wire.PublishedState, error) {
-			return d.FetchState(ctx, address, &wire.FetchRequest{NewerThan: uint64(newerThan)}, received)
-		},
+		Fetch:  d.FetchState,
 	}
 }
 
--- a/internal/roster/exchange_test.go
+++ b/internal/roster/exchange_test.go
@@ -34,11 +34,11 @@
 // emptyCatalog is a catalog without any state.
 type emptyCatalog struct{}
 
-func (emptyCatalog) ObserveRevision(context.Context, string, catalog.Revision) {}
-func (emptyCatalog) StoreUnreachable() bool                                    { return false }
-func (emptyCatalog) Revision() catalog.Revision                                { return 0 }
-func (emptyCatalog) SetRelaxed(bool)                                           {}
-func (emptyCatalog) State(catalog.Revision) *wire.PublishedState               { return nil }
+func (emptyCatalog) ObserveRevisions(context.Context, string, catalog.Revisions) {}
+func (emptyCatalog) StoreUnreachable() bool                                      { return false }
+func (emptyCatalog) Revisions() catalog.Revisions                                { return catalog.Revisions{1e6, 1e6, 1e6} }
+func (emptyCatalog) SetRelaxed(bool)                                             {}
+func (emptyCatalog) State(*wire.FetchRequest) *wire.PublishedState               { return nil }
 
 func newGateway(n int, incarnation fleet.Incarnation) *Task {
 	return &Task{
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -77,11 +77,12 @@
 // Catalog receives the store revisions that other gateways know, and provides the
 // state of this one.
 type Catalog interface {
-	ObserveRevision(ctx context.Context, address string, r catalog.Revision)
-	Revision() catalog.Revision
+	ObserveRevisions(ctx context.Context, address string, r catalog.Revisions)
+	// Revisions returns the revision of the newest known change in each section.
+	Revisions() catalog.Revisions
 	// StoreUnreachable reports whether the last call to the store failed.
 	StoreUnreachable() bool
-	State(newerThan catalog.Revision) *wire.PublishedState
+	State(r *wire.FetchRequest) *wire.PublishedState
 	// SetRelaxed sets whether enough other gateways watch the store closely.
 	SetRelaxed(relaxed bool)
 }
@@ -183,7 +184,7 @@
 		Address:     t.Self,
 		DataCentre:  string(t.DataCentre),
 		Incarnation: string(t.Incarnation),
-		Revision:    uint64(t.Catalog.Revision()),
+		Revisions:   encodeRevisions(t.Catalog.Revisions()),
 		StoreAway:   t.Catalog.StoreUnreachable(),
 		Loads:       encodeLoads(t.Scheduler.Loads()),
 	}
@@ -240,7 +241,7 @@
 	}
 	t.Scheduler.Tell(placement.PeerLoads{Gateway: s.Address, Loads: decodeLoads(s.Loads)})
 	t.Suspects.Merge(now, s.Suspicions)
-	t.Catalog.ObserveRevision(context.WithoutCancel(ctx), s.Address, catalog.Revision(s.Revision))
+	t.Catalog.ObserveRevisions(context.WithoutCancel(ctx), s.Address, decodeRevisions(s.Revisions))
 }
 
 // ExchangeNow starts a round of exchanges without waiting for the next interval,
@@ -265,7 +266,25 @@
 	return t.state(time.Now(), s.Address), nil
 }
 
-// Fetch sends the published state to a gateway that has an older revision.
+// Fetch sends a section of the published state to a gateway that has an older
+// revision.
 func (t *Task) Fetch(r *wire.FetchRequest, stream wire.DRPCGateways_FetchStream) error {
-	return wire.SendState(stream, t.Catalog.State(catalog.Revision(r.NewerThan)))
+	return wire.SendState(stream, t.Catalog.State(r))
+}
+
+func encodeRevisions(r catalog.Revisions) []uint64 {
+	out := make([]uint64, 0, len(r))
+	for _, revision := range r {
+		out = append(out, uint64(revision))
+	}
+	return out
+}
+
+// decodeRevisions ignores sections that this version does not know.
+func decodeRevisions(in []uint64) catalog.Revisions {
+	var r catalog.Revisions
+	for n := range min(len(in), len(r)) {
+		r[n] = catalog.Revision(in[n])
+	}
+	return r
 }
