Read only the newest table while versions come faster than they are read

What callers would see: a gateway on a slow link that falls ever further behind while the table changes often.

Cause: a watch returns every version since the last one read; at a second each, a gateway that is one version behind is five behind after the next.

After a watch that returned superseded values of 64 KB or more, or that took 300 ms or more while other gateways report something newer or none is heard, the section is read whole, which returns each key once, until that brings nothing newer. A response over the client's size limit is followed by the same.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -197,12 +197,20 @@
 }
 
 // ApplyChanges applies changes of a section, which must be in the order of their
-// revisions. The state is then as of the given revision.
+// revisions. The state is then as of the given revision. Of several changes of a
+// key it applies the last.
 func (c *Core) ApplyChanges(now time.Time, id Section, changes []Entry, revision Revision) []SkippedEntry {
 	s := &c.sections[id]
+	last := make(map[string]int, len(changes))
+	for n, e := range changes {
+		last[e.Key] = n
+	}
 	var skipped []SkippedEntry
-	for _, e := range changes {
+	for n, e := range changes {
 		s.advance(e.Revision, e.Revision)
+		if last[e.Key] != n {
+			continue
+		}
 		if e.Deleted {
 			if it, ok := s.items[e.Key]; ok && it.entry.Revision < e.Revision {
 				s.remove(now, e.Key, c.Settled(now))
--- a/internal/catalog/peer.go
+++ b/internal/catalog/peer.go
@@ -20,6 +20,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.heardAt = now
 	for s, r := range revisions {
 		t.observe(ctx, now, address, Section(s), r)
 	}
@@ -27,6 +28,7 @@
 
 func (t *Task) observe(ctx context.Context, now time.Time, address string, s Section, r Revision) {
 	f := &t.followers[s]
+	f.peerNewest = max(f.peerNewest, r)
 	at := t.core.Revision(s)
 	switch {
 	case r <= at:
--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -94,7 +94,7 @@
 }
 
 // endRead ends a read of the store, counts it, and logs it if it was cut off.
-func (t *Task) endRead(ctx context.Context, r *read, err error) {
+func (t *Task) endRead(ctx context.Context, r *read, err error) completedRead {
 	cause := context.Cause(r.ctx)
 	done := r.end()
 	t.bytesReceived.Add(uint64(done.bytes))
@@ -108,4 +108,5 @@
 		t.Log.WriteThrottled(event.ReadCut, r.section.String(), "read", r.kind, "bytes", done.bytes, "after_ms", done.duration.Milliseconds(),
 			"error", err, "cause", cause)
 	}
+	return done
 }
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,12 +41,24 @@
 	// response as a whole has no limit: what a slow link can't transfer in time,
 	// it couldn't on the next try either.
 	stallTimeout = time.Second
+	// slowTransfer is the transfer time of a response during which newer versions
+	// may have been written.
+	slowTransfer = 300 * time.Millisecond
+	// heardWithin is the age up to which a report of another gateway shows that
+	// nothing newer was written.
+	heardWithin = time.Second
+	// supersededBytes is the size of values in a response that were already
+	// superseded in it, from which reading only the newest ones saves time.
+	supersededBytes = 64 << 10
 	// firstBackoff and maxBackoff bound the exponential backoff after failed
 	// calls.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
 )
 
+// ErrTooLarge reports that a response is larger than a client accepts.
+var ErrTooLarge = errors.New("the response of the store is too large")
+
 // ErrCompacted reports that the store no longer has the history after the
 // requested revision.
 var ErrCompacted = errors.New("the store no longer has this history")
@@ -76,6 +89,8 @@
 	core      Core
 	view      atomic.Pointer[route.View]
 	followers [SectionCount]follower
+	// heardAt is when another gateway last reported its revisions.
+	heardAt time.Time
 	// relaxed reports that enough other gateways watch the store closely.
 	relaxed bool
 	timer   *time.Timer
@@ -87,6 +102,10 @@
 type follower struct {
 	// watch is the current watch, or nil.
 	watch *read
+	// newestOnly makes the next read return only the newest entries. A watch
+	// returns each version that was written since the last, which may be more than
+	// the link transfers.
+	newestOnly bool
 	// lastRead is the last complete read that the store answered.
 	lastRead completedRead
 	// fetching prevents concurrent fetches.
@@ -96,6 +115,8 @@
 	// Reports of revisions that are not newer change neither.
 	peerRevision      Revision
 	peerRevisionSince time.Time
+	// peerNewest is the newest revision reported by another gateway.
+	peerNewest Revision
 	// behindReported reports that StateBehind was logged.
 	behindReported bool
 }
@@ -151,11 +172,11 @@
 	}
 }
 
-// poll makes one watch call, or reads the complete section if it is not known yet
-// or the store has dropped the history.
+// poll makes one watch call, or reads the complete section if it is not known yet,
+// if the store has dropped the history, or if the history is too much to read.
 func (t *Task) poll(ctx context.Context, s Section) error {
 	t.mu.Lock()
-	if !t.core.Loaded(s) {
+	if !t.core.Loaded(s) || t.followers[s].newestOnly {
 		t.mu.Unlock()
 		return t.load(ctx, s)
 	}
@@ -165,8 +186,10 @@
 	t.followers[s].watch = r
 	t.mu.Unlock()
 	changes, revision, err := t.Store.Watch(r.ctx, s, at, wait, r.receive)
-	t.endRead(ctx, r, err)
+	done := t.endRead(ctx, r, err)
 	switch {
+	case errors.Is(err, ErrTooLarge):
+		return t.load(ctx, s)
 	case errors.Is(err, ErrCompacted):
 		t.Log.WriteThrottled(event.HistoryDropped, s.String(), "revision", uint64(at))
 		// A store that drops all history immediately must not be called in a loop
@@ -185,9 +208,28 @@
 	if len(changes) > 0 {
 		sleep(ctx, pause)
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := &t.followers[s]
+	mayBeNewer := f.peerNewest > revision || time.Since(t.heardAt) > heardWithin
+	f.newestOnly = sizeOfSuperseded(changes) >= supersededBytes || done.duration >= slowTransfer && mayBeNewer
 	return nil
 }
 
+// sizeOfSuperseded returns the size of the values in changes that a later change
+// replaces.
+func sizeOfSuperseded(changes []Entry) int {
+	last := make(map[string]int, len(changes))
+	size := 0
+	for n, e := range changes {
+		if previous, ok := last[e.Key]; ok {
+			size += len(changes[previous].Value)
+		}
+		last[e.Key] = n
+	}
+	return size
+}
+
 // watchTiming returns how long the next watch may be held open, and the delay
 // after a watch that returned changes.
 func (t *Task) watchTiming() (wait, pause time.Duration) {
@@ -237,12 +279,27 @@
 		return err
 	}
 	t.recordReachability(s, nil)
+	again := t.setNewestOnly(s, entries)
 	t.apply(func(c *Core, now time.Time) []SkippedEntry {
 		return c.ApplyState(now, s, State{Entries: entries, Revision: at, Changed: at, Settled: c.Settled(now)})
 	})
+	if again {
+		sleep(ctx, changePause)
+	}
 	return nil
 }
 
+// setNewestOnly decides after a complete read how to go on: with watches unless it
+// returned a newer version, in which case more may follow soon. It reports whether
+// the next read is a complete one again.
+func (t *Task) setNewestOnly(s Section, entries []Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, f := t.core.Changed()[s], &t.followers[s]
+	f.newestOnly = f.newestOnly && slices.ContainsFunc(entries, func(e Entry) bool { return e.Revision > known })
+	return f.newestOnly
+}
+
 // recordReachability records from the error of a call whether the store responds,
 // and logs a change. Only the small responses of Upstreams count: the transfer of a
 // large table may fail for its size.
