Bound reads of the configuration service by their progress too

What callers would see: on a slow link, a sidecar or gateway whose table stays old, because a large value is read anew again and again. Found by reading, after the same cause in catalog; no deployment has shown it.

Cause: the client gave a response 1 s as a whole, and fleet.Task the same once more; a value may have a megabyte.

Evidence: TestSlowValueIsReadWhole (0.8 MB in eight parts of 250 ms) fails on the code before with config_unreached. It passes, and a response that stalls for 1 s still ends the call.

The limit is now on the time until a response begins and without a further byte, in internal/transfer, which took it over from catalog and the store's client. Only calls between our own processes keep a limit as a whole: their answers are bounded to 256 KB, 0.2 s on 10 Mbit/s.

Looked at and left: watches of this client name values and don't carry them, so nothing piles up; the VM list has a call of its own.

--- a/internal/catalog/peer.go
+++ b/internal/catalog/peer.go
@@ -57,7 +57,7 @@
 	}()
 	r := startRead(ctx, s, "fetch", stallTimeout)
 	state, err := t.fetchState(r, address, at)
-	cause := context.Cause(r.ctx)
+	cause := r.Cause()
 	done := r.end()
 	if err != nil {
 		t.fetchesFailed.Add(1)
@@ -86,7 +86,7 @@
 	base := t.core.Large(r.section)
 	t.mu.Unlock()
 	request := &wire.FetchRequest{Section: uint32(r.section), NewerThan: uint64(at), BaseRevision: uint64(base.Revision)}
-	encoded, err := t.Fetch(r.ctx, address, request, r.receive)
+	encoded, err := t.Fetch(r.Context(), address, request, r.Receive)
 	if err != nil {
 		return State{}, err
 	}
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -189,7 +189,7 @@
 	r.after = at
 	t.followers[s].read = r
 	t.mu.Unlock()
-	changes, revision, err := t.Store.Watch(r.ctx, s, at, wait, r.receive)
+	changes, revision, err := t.Store.Watch(r.Context(), s, at, wait, r.Receive)
 	done := t.endRead(ctx, r, err)
 	switch {
 	case errors.Is(err, ErrTooLarge):
@@ -200,11 +200,11 @@
 		// without a delay.
 		sleep(ctx, firstBackoff)
 		return t.load(ctx, s)
-	case err != nil && r.endedBy(errInterrupted):
+	case err != nil && r.EndedBy(errInterrupted):
 		// The next watch uses a new connection and shows whether the store
 		// responds.
 		return nil
-	case err != nil && r.endedBy(errSuperseded):
+	case err != nil && r.EndedBy(errSuperseded):
 		sleep(ctx, supersededPause)
 		return nil
 	case err != nil:
@@ -273,7 +273,7 @@
 // that a new one starts.
 func (f *follower) interruptIdleRead() {
 	if f.read != nil {
-		f.read.interruptUnlessReceiving()
+		f.read.CancelIdle(errInterrupted)
 	}
 }
 
@@ -284,9 +284,9 @@
 	r.after = t.core.Revision(s)
 	t.followers[s].read = r
 	t.mu.Unlock()
-	entries, at, err := t.Store.Range(r.ctx, s, r.receive)
+	entries, at, err := t.Store.Range(r.Context(), s, r.Receive)
 	t.endRead(ctx, r, err)
-	if err != nil && r.endedBy(errSuperseded) {
+	if err != nil && r.EndedBy(errSuperseded) {
 		sleep(ctx, supersededPause)
 		return nil
 	}
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// callTimeout is the timeout of a call, in addition to the time for which
-	// the platform may hold it open.
+	// callTimeout is the timeout of a call to a peer.
 	callTimeout = time.Second
 	// maxSyncs is the maximum number of concurrent calls to peers.
 	maxSyncs = 32
@@ -25,7 +24,8 @@
 	inboxSize = 256
 )
 
-// ConfigReader reads from the configuration service.
+// ConfigReader reads from the configuration service. It limits the time of its
+// calls by their progress.
 type ConfigReader interface {
 	// Watch returns the latest revision and the values changed after the given
 	// revision. If there are none, it waits for a change, for the given time at
@@ -36,7 +36,7 @@
 	Get(ctx context.Context, name string) (Value, error)
 }
 
-// VMLister reads the VM list.
+// VMLister reads the VM list. It limits the time of its calls by their progress.
 type VMLister interface {
 	// List returns the VM list if it is newer than the given version, and
 	// otherwise an empty list after the wait.
--- a/internal/fleet/task_calls.go
+++ b/internal/fleet/task_calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -24,34 +23,40 @@
 	case CallSync:
 		t.callSync(ctx, f)
 	case CallWatch:
-		t.call(ctx, f.Wait, func(ctx context.Context) Message {
+		t.run(ctx, func(ctx context.Context) Message {
 			r, changed, err := t.Config.Watch(ctx, f.After, f.Wait)
 			return Watched{f.Sent, r, changed, err}
 		})
 	case CallGet:
-		t.call(ctx, 0, func(ctx context.Context) Message {
+		t.run(ctx, func(ctx context.Context) Message {
 			v, err := t.Config.Get(ctx, f.Name)
 			return Got{f.Name, v, err}
 		})
 	case CallList:
-		t.call(ctx, f.Wait, func(ctx context.Context) Message {
+		t.run(ctx, func(ctx context.Context) Message {
 			l, err := t.VMs.List(ctx, f.After, f.Wait)
 			return Listed{f.Sent, l, err}
 		})
 	}
 }
 
-// call runs ask in the background and posts its result to the core. wait is how
-// long the callee may hold the call open.
-func (t *Task) call(ctx context.Context, wait time.Duration, ask func(context.Context) Message) {
+// run runs ask in the background and posts its result to the core.
+func (t *Task) run(ctx context.Context, ask func(context.Context) Message) {
 	t.group.Go(func() error {
-		callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		defer cancel()
-		t.post(ctx, envelope{message: ask(callCtx)})
+		t.post(ctx, envelope{message: ask(ctx)})
 		return nil
 	})
 }
 
+// callPeer is like run, with callTimeout for the call.
+func (t *Task) callPeer(ctx context.Context, ask func(context.Context) Message) {
+	t.run(ctx, func(ctx context.Context) Message {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return ask(ctx)
+	})
+}
+
 func (t *Task) callSync(ctx context.Context, f CallSync) {
 	select {
 	case t.syncSlots <- struct{}{}:
@@ -64,7 +69,7 @@
 		f.Request.Suspicions = t.Suspicions.Snapshot(t.Now())
 	}
 	callEnded := t.trackExchangeCall()
-	t.call(ctx, 0, func(ctx context.Context) Message {
+	t.callPeer(ctx, func(ctx context.Context) Message {
 		defer callEnded()
 		defer func() { <-t.syncSlots }()
 		reply, err := t.Peers.Sync(ctx, f.To, f.Request)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -31,6 +31,7 @@
 	"sync"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/transfer"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -40,8 +41,9 @@
 	MaxResponseBytes = 1 << 20
 	// connectTimeout bounds the time to establish a connection.
 	connectTimeout = 500 * time.Millisecond
-	// responseTimeout bounds a call, in addition to the time that the call asks the
-	// service to wait.
+	// responseTimeout bounds the time until a response begins, in addition to the
+	// time that the call asks the service to wait, and the time without a further
+	// byte of it.
 	responseTimeout = time.Second
 	// maxIdleConns bounds the number of idle connections to a service.
 	maxIdleConns = 2
@@ -80,13 +82,13 @@
 // get sends a GET request. A status that is not among want is an error.
 func (c *Client) get(ctx context.Context, path string, query url.Values, wait time.Duration, want ...int) (response, error) {
 	c.init()
-	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
+	t := transfer.Start(ctx, transfer.Limits{Response: wait + responseTimeout, Stall: responseTimeout})
+	defer t.End()
 	u := c.BaseURL + path
 	if len(query) > 0 {
 		u += "?" + query.Encode()
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, u, nil)
 	if err != nil {
 		return response{}, result.Errorf(result.BadSetting, "call %s: %w", path, err)
 	}
@@ -95,7 +97,7 @@
 		return response{}, result.Errorf(result.ConfigUnreached, "call %s: %w", path, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	b, err := io.ReadAll(io.LimitReader(t.Reader(resp.Body), MaxResponseBytes+1))
 	if err != nil {
 		return response{}, result.Errorf(result.ConfigUnreached, "read %s: %w", path, err)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -5,9 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -106,3 +109,81 @@
 	_, err := c.Get(ctx, "a")
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
 }
+
+// A value that takes longer than responseTimeout to arrive is read whole, as long as
+// it keeps arriving. A response that stalls ends the call.
+func TestSlowValueIsReadWhole(t *testing.T) {
+	const parts, partBytes = 8, 100 << 10
+	tests := []struct {
+		name  string
+		pause time.Duration
+		want  result.Code
+	}{
+		{"slow", responseTimeout / 4, result.OK},
+		{"stalls", 2 * responseTimeout, result.ConfigUnreached},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &Config{Client: Client{BaseURL: "http://config"}}
+				stop := serveInMemory(t, &c.Client, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Revision", "5")
+					for range parts {
+						time.Sleep(tt.pause)
+						_, _ = w.Write(make([]byte, partBytes))
+						_ = http.NewResponseController(w).Flush()
+					}
+				})
+				defer stop()
+				v, err := c.Get(t.Context(), "routes")
+				assert.Equal(t, result.CodeOf(err), tt.want)
+				if err == nil {
+					assert.Equal(t, len(v.Data), parts*partBytes)
+				}
+			})
+		})
+	}
+}
+
+// serveInMemory makes a client use a server over in-memory connections, in the fake
+// time of a test. The caller must call stop at the end.
+func serveInMemory(t *testing.T, c *Client, h http.HandlerFunc) (stop func()) {
+	t.Helper()
+	c.init()
+	conns, done := make(chan net.Conn), make(chan struct{})
+	c.client.Transport = &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		conns <- server
+		return client, nil
+	}}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(&memoryListener{conns: conns, done: done}) }()
+	return func() {
+		c.client.CloseIdleConnections()
+		assert.NilError(t, server.Close())
+		time.Sleep(time.Minute)
+	}
+}
+
+// memoryListener accepts connections from a channel.
+type memoryListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (*memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
