Watch the table and data centres less often than upstreams

The watch of the upstreams tells whether the store answers, so it keeps its 1 s and 6 s. A gateway that rests on others hears of a missed table or data centre from them and then starts a new watch, so those may wait 20 s; the few that watch closely see a silent watch for data centres after 2.5 s of the 5 s allowed. The task's tests hold for the upstreams' waits, as before.

--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -16,16 +16,8 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch open without changes. Each
-	// watch is charged, but a watch whose connection has silently failed is only
-	// noticed at its timeout, and changes must be in force within two seconds.
-	watchWait = time.Second
-	// relaxedWait replaces watchWait while enough other gateways that this one
-	// hears from watch the store closely. If this gateway misses a change, it
-	// learns of it from them.
-	relaxedWait = 6 * time.Second
-	// recoveryWait replaces watchWait while the store is unreachable, so that a
-	// watch shows quickly whether it responds again.
+	// recoveryWait replaces the wait of a watch while the store is unreachable, so
+	// that a watch shows quickly whether it responds again.
 	recoveryWait = 100 * time.Millisecond
 	// changePause is the delay between a watch that returned changes and the next
 	// watch, since changes arrive in bursts and each call is charged.
@@ -59,6 +51,25 @@
 	maxBackoff   = 400 * time.Millisecond
 )
 
+// watchWait is how long the store may hold a watch open without changes. Each watch
+// is charged, but a watch whose connection has silently failed is only noticed at
+// its timeout.
+type watchWait struct {
+	// close is the wait of the few gateways that watch closely. A change must be in
+	// force within two seconds, a data centre out of service within five.
+	close time.Duration
+	// relaxed is the wait while enough other gateways that this one hears from
+	// watch closely. If this gateway misses a change, it learns of it from them.
+	// The watch of the upstreams also shows whether the store responds.
+	relaxed time.Duration
+}
+
+var watchWaits = [SectionCount]watchWait{
+	RoutingTable:   {close: time.Second, relaxed: 20 * time.Second},
+	Upstreams:      {close: time.Second, relaxed: 6 * time.Second},
+	DataCentresOut: {close: 2 * time.Second, relaxed: 20 * time.Second},
+}
+
 // ErrTooLarge reports that a response is larger than a client accepts.
 var ErrTooLarge = errors.New("the response of the store is too large")
 
@@ -184,7 +195,7 @@
 		return t.load(ctx, s)
 	}
 	at := t.core.Revision(s)
-	wait, pause := t.watchTiming()
+	wait, pause := t.watchTiming(s)
 	r := startRead(ctx, s, "watch", wait+answerTimeout)
 	r.after = at
 	t.followers[s].read = r
@@ -239,10 +250,10 @@
 
 // watchTiming returns how long the next watch may be held open, and the delay
 // after a watch that returned changes.
-func (t *Task) watchTiming() (wait, pause time.Duration) {
-	wait, pause = watchWait, changePause
+func (t *Task) watchTiming(s Section) (wait, pause time.Duration) {
+	wait, pause = watchWaits[s].close, changePause
 	if t.relaxed {
-		wait, pause = relaxedWait, relaxedPause
+		wait, pause = watchWaits[s].relaxed, relaxedPause
 	}
 	if t.core.StoreUnreachable() {
 		wait = recoveryWait
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -15,6 +15,13 @@
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
+// closeWait and relaxedWait are the waits of the watch that shows whether the store
+// responds.
+var (
+	closeWait   = watchWaits[Upstreams].close
+	relaxedWait = watchWaits[Upstreams].relaxed
+)
+
 // applyBound is the time within which a change must be in force.
 const applyBound = 2 * time.Second
 
@@ -175,7 +182,7 @@
 					return nil, errors.New("not reached")
 				}
 				task.SetRelaxed(true)
-				time.Sleep(watchWait)
+				time.Sleep(closeWait)
 				s.set(func() { s.calls = [SectionCount]int{} })
 				time.Sleep(quiet)
 				s.set(func() { assert.Assert(t, s.mostCalls() <= 1+int(quiet/relaxedWait), "calls: %v", s.calls) })
@@ -198,7 +205,7 @@
 	const changes = 40
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
 		task.SetRelaxed(true)
-		time.Sleep(watchWait)
+		time.Sleep(closeWait)
 		s.set(func() { s.calls = [SectionCount]int{} })
 		for range changes {
 			s.put("up/b", "")
@@ -218,11 +225,11 @@
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
 		task.SetRelaxed(true)
 		s.set(func() { s.silent = true })
-		time.Sleep(watchWait)
+		time.Sleep(closeWait)
 		task.SetRelaxed(false)
 		// Wait until shortly after the timeout of the watch that now starts, and
 		// before the next one starts.
-		time.Sleep(watchWait + answerTimeout + firstBackoff/2)
+		time.Sleep(closeWait + answerTimeout + firstBackoff/2)
 		assert.Assert(t, task.StoreUnreachable())
 		s.remove("up/a")
 		s.set(func() { s.silent = false })
@@ -245,7 +252,7 @@
 				s.set(func() { s.down = nil })
 				time.Sleep(ExpiryGrace + time.Second)
 				s.remove("up/a")
-				time.Sleep(watchWait / 2)
+				time.Sleep(closeWait / 2)
 				assert.Equal(t, viewText(task.View()), " v1")
 			})
 		})
