Don't count an interrupted complete read as an outage of the store

What callers would see: after another gateway's report interrupted a complete read of the upstreams, removed upstreams were kept for two seconds.

Cause: only a watch took the interruption for what it is. Evidence: TestInterrupted- LoadIsNoOutage fails on the commit before (the store counts as unreachable) and passes now.

--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/event"
@@ -31,7 +32,7 @@
 }
 
 // startRead starts a read whose response must begin within the given time. The
-// caller must call endRead.
+// caller must call end.
 func startRead(ctx context.Context, s Section, kind string, responseTimeout time.Duration) *read {
 	limits := transfer.Limits{Response: responseTimeout, Stall: stallTimeout}
 	return &read{Transfer: transfer.Start(ctx, limits), section: s, kind: kind}
@@ -50,20 +51,38 @@
 	return completedRead{n, d}
 }
 
-// endRead ends a read of the store, counts it, and logs it if it was cut off.
-func (t *Task) endRead(ctx context.Context, r *read, err error) completedRead {
+// startStoreRead starts a read of the store, which supersede and interruptIdleRead
+// may cancel.
+func (t *Task) startStoreRead(ctx context.Context, s Section, kind string, responseTimeout time.Duration) *read {
+	r := startRead(ctx, s, kind, responseTimeout)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.after = t.core.Revision(s)
+	t.followers[s].read = r
+	return r
+}
+
+// endStoreRead ends a read of the store, counts it, and logs it if it failed. The
+// returned error is the cause if the read was cancelled.
+func (t *Task) endStoreRead(ctx context.Context, r *read, err error) (completedRead, error) {
 	cause := r.Cause()
 	done := r.end()
 	t.bytesReceived.Add(uint64(done.bytes))
-	switch {
-	case err == nil:
+	if err == nil {
 		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.followers[r.section].lastRead = done
-		t.mu.Unlock()
-	case done.bytes > 0 && ctx.Err() == nil && !r.EndedBy(errSuperseded):
+		return done, nil
+	}
+	if cause != nil {
+		err = fmt.Errorf("%w: %w", cause, err)
+	}
+	switch {
+	case ctx.Err() != nil, errors.Is(err, errSuperseded), errors.Is(err, errInterrupted), errors.Is(err, ErrCompacted):
+	case done.bytes > 0 || r.section != Upstreams:
 		t.readsCut.Add(1)
 		t.Log.WriteThrottled(event.ReadCut, r.section.String(), "read", r.kind, "bytes", done.bytes,
-			"after_ms", done.duration.Milliseconds(), "error", err, "cause", cause)
+			"after_ms", done.duration.Milliseconds(), "error", err)
 	}
-	return done
+	return done, err
 }
--- a/internal/catalog/task.go
+++ b/internal/catalog/task.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,61 +14,6 @@
 	"jasminewing.dev/jasminewing/internal/wire"
 )
 
-const (
-	// recoveryWait replaces the wait of a watch while the store is unreachable, so
-	// that a watch shows quickly whether it responds again.
-	recoveryWait = 100 * time.Millisecond
-	// changePause is the delay between a watch that returned changes and the next
-	// watch, since changes arrive in bursts and each call is charged.
-	// relaxedPause is the same delay for gateways that leave close watching to
-	// others, which are most of them. A change must be in force within two
-	// seconds.
-	changePause  = 100 * time.Millisecond
-	relaxedPause = 400 * time.Millisecond
-	// answerTimeout bounds the time until a response of the store begins, beyond
-	// the time for which it may hold a watch open.
-	answerTimeout = 500 * time.Millisecond
-	// stallTimeout bounds the time without a further byte of a response. A
-	// response as a whole has no limit: what a slow link can't transfer in time,
-	// it couldn't on the next try either.
-	stallTimeout = time.Second
-	// slowTransfer is the transfer time of a response during which newer versions
-	// may have been written.
-	slowTransfer = 300 * time.Millisecond
-	// heardWithin is the age up to which a report of another gateway shows that
-	// nothing newer was written.
-	heardWithin = time.Second
-	// supersededBytes is the size of values in a response that were already
-	// superseded in it, from which reading only the newest ones saves time.
-	supersededBytes = 64 << 10
-	// supersededPause is the delay after a response that another gateway overtook.
-	// On such a link the others deliver changes sooner.
-	supersededPause = time.Second
-	// firstBackoff and maxBackoff bound the exponential backoff after failed
-	// calls.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 400 * time.Millisecond
-)
-
-// watchWait is how long the store may hold a watch open without changes. Each watch
-// is charged, but a watch whose connection has silently failed is only noticed at
-// its timeout.
-type watchWait struct {
-	// close is the wait of the few gateways that watch closely. A change must be in
-	// force within two seconds, a data centre out of service within five.
-	close time.Duration
-	// relaxed is the wait while enough other gateways that this one hears from
-	// watch closely. If this gateway misses a change, it learns of it from them.
-	// The watch of the upstreams also shows whether the store responds.
-	relaxed time.Duration
-}
-
-var watchWaits = [SectionCount]watchWait{
-	RoutingTable:   {close: time.Second, relaxed: 20 * time.Second},
-	Upstreams:      {close: time.Second, relaxed: 6 * time.Second},
-	DataCentresOut: {close: 2 * time.Second, relaxed: 20 * time.Second},
-}
-
 // ErrTooLarge reports that a response is larger than a client accepts.
 var ErrTooLarge = errors.New("the response of the store is too large")
 
@@ -112,29 +56,6 @@
 	bytesReceived, readsCut, fetchesFailed atomic.Uint64
 }
 
-// follower is the progress of reading one section.
-type follower struct {
-	// read is the current or latest read of the store, or nil.
-	read *read
-	// newestOnly makes the next read return only the newest entries. A watch
-	// returns each version that was written since the last, which may be more than
-	// the link transfers.
-	newestOnly bool
-	// lastRead is the last complete read that the store answered.
-	lastRead completedRead
-	// fetching prevents concurrent fetches.
-	fetching bool
-	// peerRevision is the first revision reported by another gateway that was
-	// newer than the known state, and peerRevisionSince is when it was reported.
-	// Reports of revisions that are not newer change neither.
-	peerRevision      Revision
-	peerRevisionSince time.Time
-	// peerNewest is the newest revision reported by another gateway.
-	peerNewest Revision
-	// behindReported reports that StateBehind was logged.
-	behindReported bool
-}
-
 // View returns the state in force. It is empty until all sections have been read.
 func (t *Task) View() *route.View {
 	if v := t.view.Load(); v != nil {
@@ -162,105 +83,6 @@
 	return g.Wait()
 }
 
-// follow reads a section until ctx is done. It retries failed calls with
-// exponential backoff.
-func (t *Task) follow(ctx context.Context, s Section) {
-	backoff := firstBackoff
-	for ctx.Err() == nil {
-		if err := t.poll(ctx, s); err != nil && ctx.Err() == nil {
-			t.recordReachability(s, err)
-			sleep(ctx, backoff)
-			backoff = min(2*backoff, maxBackoff)
-			continue
-		}
-		backoff = firstBackoff
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// poll makes one watch call, or reads the complete section if it is not known yet,
-// if the store has dropped the history, or if the history is too much to read.
-func (t *Task) poll(ctx context.Context, s Section) error {
-	t.mu.Lock()
-	if t.followers[s].newestOnly || !t.core.Loaded(s) {
-		t.mu.Unlock()
-		return t.load(ctx, s)
-	}
-	at := t.core.Revision(s)
-	wait, pause := t.watchTiming(s)
-	r := startRead(ctx, s, "watch", wait+answerTimeout)
-	r.after = at
-	t.followers[s].read = r
-	t.mu.Unlock()
-	changes, revision, err := t.Store.Watch(r.Context(), s, at, wait, r.Receive)
-	done := t.endRead(ctx, r, err)
-	switch {
-	case errors.Is(err, ErrTooLarge):
-		return t.load(ctx, s)
-	case errors.Is(err, ErrCompacted):
-		t.Log.WriteThrottled(event.HistoryDropped, s.String(), "revision", uint64(at))
-		// A store that drops all history immediately must not be called in a loop
-		// without a delay.
-		sleep(ctx, firstBackoff)
-		return t.load(ctx, s)
-	case err != nil && r.EndedBy(errInterrupted):
-		// The next watch uses a new connection and shows whether the store
-		// responds.
-		return nil
-	case err != nil && r.EndedBy(errSuperseded):
-		sleep(ctx, supersededPause)
-		return nil
-	case err != nil:
-		return err
-	}
-	t.recordReachability(s, nil)
-	t.apply(func(c *Core, now time.Time) []SkippedEntry { return c.ApplyChanges(now, s, changes, revision) })
-	if len(changes) > 0 {
-		sleep(ctx, pause)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	f := &t.followers[s]
-	mayBeNewer := f.peerNewest > revision || time.Since(t.heardAt) > heardWithin
-	f.newestOnly = sizeOfSuperseded(changes) >= supersededBytes || done.duration >= slowTransfer && mayBeNewer
-	return nil
-}
-
-// sizeOfSuperseded returns the size of the values in changes that a later change
-// replaces.
-func sizeOfSuperseded(changes []Entry) int {
-	last := make(map[string]int, len(changes))
-	size := 0
-	for n, e := range changes {
-		if previous, ok := last[e.Key]; ok {
-			size += len(changes[previous].Value)
-		}
-		last[e.Key] = n
-	}
-	return size
-}
-
-// watchTiming returns how long the next watch may be held open, and the delay
-// after a watch that returned changes.
-func (t *Task) watchTiming(s Section) (wait, pause time.Duration) {
-	wait, pause = watchWaits[s].close, changePause
-	if t.relaxed {
-		wait, pause = watchWaits[s].relaxed, relaxedPause
-	}
-	if t.core.StoreUnreachable() {
-		wait = recoveryWait
-	}
-	return wait, pause
-}
-
 // SetRelaxed sets whether enough other gateways watch the store closely. When
 // they no longer do, it interrupts the current long watches, as no other gateway
 // would reveal that their connections have silently failed.
@@ -280,52 +102,6 @@
 	}
 }
 
-// interruptIdleRead cancels the current read unless its response is arriving, so
-// that a new one starts.
-func (f *follower) interruptIdleRead() {
-	if f.read != nil {
-		f.read.CancelIdle(errInterrupted)
-	}
-}
-
-// load reads a complete section from the store.
-func (t *Task) load(ctx context.Context, s Section) error {
-	r := startRead(ctx, s, "range", answerTimeout)
-	t.mu.Lock()
-	r.after = t.core.Revision(s)
-	t.followers[s].read = r
-	t.mu.Unlock()
-	entries, at, err := t.Store.Range(r.Context(), s, r.Receive)
-	t.endRead(ctx, r, err)
-	if err != nil && r.EndedBy(errSuperseded) {
-		sleep(ctx, supersededPause)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	t.recordReachability(s, nil)
-	again := t.setNewestOnly(s, entries)
-	t.apply(func(c *Core, now time.Time) []SkippedEntry {
-		return c.ApplyState(now, s, State{Entries: entries, Revision: at, Changed: at, Settled: c.Settled(now)})
-	})
-	if again {
-		sleep(ctx, changePause)
-	}
-	return nil
-}
-
-// setNewestOnly decides after a complete read how to go on: with watches unless it
-// returned a newer version, in which case more may follow soon. It reports whether
-// the next read is a complete one again.
-func (t *Task) setNewestOnly(s Section, entries []Entry) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known, f := t.core.Changed()[s], &t.followers[s]
-	f.newestOnly = f.newestOnly && slices.ContainsFunc(entries, func(e Entry) bool { return e.Revision > known })
-	return f.newestOnly
-}
-
 // recordReachability records from the error of a call whether the store responds,
 // and logs a change. Only the small responses of Upstreams count: the transfer of a
 // large table may fail for its size.
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -33,6 +33,9 @@
 	down    error
 	// silent makes watches block without a response until their context is done.
 	silent bool
+	// silentRange makes ranges block without a response until their context is
+	// done.
+	silentRange bool
 	// compactedBefore makes watches from an older revision return ErrCompacted.
 	compactedBefore Revision
 	// calls counts the calls by section.
@@ -59,11 +62,16 @@
 	})
 }
 
-func (s *fakeStore) Range(_ context.Context, section Section, _ func(int)) ([]Entry, Revision, error) {
+func (s *fakeStore) Range(ctx context.Context, section Section, _ func(int)) ([]Entry, Revision, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls[section]++
-	return entriesIn(section, s.entries), s.at, s.down
+	entries, at, down, silent := entriesIn(section, s.entries), s.at, s.down, s.silentRange
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return entries, at, down
 }
 
 func (s *fakeStore) Watch(ctx context.Context, section Section, after Revision, wait time.Duration, _ func(int)) ([]Entry, Revision, error) {
@@ -292,3 +300,22 @@
 		assert.Equal(t, task.Revisions(), Revisions{9, 9, 9})
 	})
 }
+
+// A complete read that a fetch interrupts says nothing about the store: entries that
+// are removed right after it are deleted, not expired.
+func TestInterruptedLoadIsNoOutage(t *testing.T) {
+	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
+		task.Fetch = func(context.Context, string, *wire.FetchRequest, func(int)) (*wire.StatePart, error) {
+			return nil, errors.New("not reached")
+		}
+		time.Sleep(ExpiryGrace)
+		s.set(func() { s.silentRange, s.compactedBefore = true, 1000 })
+		for range 2 {
+			observe(t.Context(), task, "10.1.0.2:1", 1000)
+			time.Sleep(fetchDelay)
+		}
+		synctest.Wait()
+		assert.Assert(t, !task.StoreUnreachable())
+		s.set(func() { s.silentRange, s.compactedBefore = false, 0 })
+	})
+}
