Cut responses that trickle, and don't offer a table that has not changed

A store that sends a byte a second would never be given up on now that a response has no limit as a whole.

A gateway that starts reported the revision of its whole read as that of the table, so each of the others took a table from it that it had: 28 encodings of a megabyte by the gateway that has just started. The table is only ever replaced, so its entry's revision is reported (TestStartReportsRevisionOfTheTable).

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/event"
@@ -23,9 +22,8 @@
 	// answerTimeout bounds the time until a response of the store begins, beyond
 	// the time for which it may hold a watch open.
 	answerTimeout = 500 * time.Millisecond
-	// stallTimeout bounds the time without a further byte of a response. A
-	// response as a whole has no limit: what a slow link can't transfer in time,
-	// it couldn't on the next try either.
+	// stallTimeout bounds the time without progress of a response, which has no
+	// limit as a whole.
 	stallTimeout = time.Second
 	// slowTransfer is the transfer time of a response during which newer versions
 	// may have been written.
@@ -72,7 +70,7 @@
 	// returns each version that was written since the last, which may be more than
 	// the link transfers.
 	newestOnly bool
-	// lastRead is the last complete read that the store answered.
+	// lastRead is the last complete read of the store or fetch.
 	lastRead completedRead
 	// fetching prevents concurrent fetches.
 	fetching bool
@@ -202,9 +200,14 @@
 		return err
 	}
 	t.recordReachability(s, nil)
+	changed := at
+	if s == RoutingTable {
+		// The table is only ever replaced, so its entry is the newest change.
+		changed = newest(entries)
+	}
 	again := t.setNewestOnly(s, entries)
 	t.apply(func(c *Core, now time.Time) []SkippedEntry {
-		return c.ApplyState(now, s, State{Entries: entries, Revision: at, Changed: at, Settled: c.Settled(now)})
+		return c.ApplyState(now, s, State{Entries: entries, Revision: at, Changed: changed, Settled: c.Settled(now)})
 	})
 	if again {
 		sleep(ctx, changePause)
@@ -218,11 +221,20 @@
 func (t *Task) setNewestOnly(s Section, entries []Entry) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known, f := t.core.Changed()[s], &t.followers[s]
-	f.newestOnly = f.newestOnly && slices.ContainsFunc(entries, func(e Entry) bool { return e.Revision > known })
+	f := &t.followers[s]
+	f.newestOnly = f.newestOnly && newest(entries) > t.core.Changed()[s]
 	return f.newestOnly
 }
 
+// newest returns the newest revision of entries.
+func newest(entries []Entry) Revision {
+	var r Revision
+	for _, e := range entries {
+		r = max(r, e.Revision)
+	}
+	return r
+}
+
 // interruptIdleRead cancels the current read unless its response is arriving, so
 // that a new one starts.
 func (f *follower) interruptIdleRead() {
--- a/internal/catalog/peer.go
+++ b/internal/catalog/peer.go
@@ -71,6 +71,7 @@
 	t.Log.Write(event.FetchedState, "section", s, "from", address, "revision", uint64(state.Revision), "bytes", done.bytes,
 		"after_ms", done.duration.Milliseconds())
 	t.apply(func(c *Core, now time.Time) []SkippedEntry {
+		t.followers[s].lastRead = done
 		skipped := c.ApplyState(now, s, state)
 		if current := t.followers[s].read; current != nil {
 			current.supersede(c.Revision(s))
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -319,3 +319,11 @@
 		s.set(func() { s.silentRange, s.compactedBefore = false, 0 })
 	})
 }
+
+// A gateway that starts reports the table's own revision, not that of other changes:
+// the others would fetch a table that they have.
+func TestStartReportsRevisionOfTheTable(t *testing.T) {
+	runTask(t, func(t *testing.T, _ *fakeStore, task *Task) {
+		assert.Equal(t, task.Revisions(), Revisions{RoutingTable: 1, Upstreams: 2, DataCentresOut: 2})
+	})
+}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -1,7 +1,6 @@
 // Package transfer bounds the transfer of a response by its progress: the time
-// until it begins, and the time without a further byte. A response as a whole has
-// no limit: what a slow link can't transfer in time, it couldn't on the next try
-// either.
+// until it begins, and the time without progress. A response as a whole has no
+// limit: what a slow link can't transfer in time, it couldn't on the next try either.
 //
 // # Usage
 //
@@ -25,14 +24,19 @@
 	ErrStalled    = errors.New("the response stalled")
 )
 
-// stepBytes is the most bytes that Reader reads before it records progress.
-const stepBytes = 16 << 10
+const (
+	// stepBytes is the most bytes that Reader reads before it records progress.
+	stepBytes = 16 << 10
+	// progressBytes is the least that counts as progress, so that a response which
+	// trickles without end is cancelled.
+	progressBytes = 1 << 10
+)
 
 // Limits are the time limits of a transfer.
 type Limits struct {
 	// Response bounds the time until the first byte.
 	Response time.Duration
-	// Stall bounds the time without a further byte.
+	// Stall bounds the time without progress once the response has begun.
 	Stall time.Duration
 }
 
@@ -46,6 +50,8 @@
 	timer       *time.Timer
 	bytes       int
 	firstByteAt time.Time
+	// sinceProgress is the number of bytes since progress was last recorded.
+	sinceProgress int
 }
 
 // Start starts a transfer. The caller must call End.
@@ -74,10 +80,16 @@
 func (t *Transfer) Receive(bytes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.bytes == 0 {
+	first := t.bytes == 0
+	if first {
 		t.firstByteAt = time.Now()
 	}
 	t.bytes += bytes
+	t.sinceProgress += bytes
+	if !first && t.sinceProgress < progressBytes {
+		return
+	}
+	t.sinceProgress = 0
 	if t.timer.Stop() {
 		t.timer.Reset(t.limits.Stall)
 	}
