--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -258,7 +258,7 @@
 	s.items[e.Key] = item{entry: e, decoded: decoded}
 	if len(e.Value) >= largeEntryBytes {
 		c.recent = append(c.recent, e)
-		c.recent = c.recent[max(len(c.recent)-recentEntries, 0):]
+		c.recent = slices.Delete(c.recent, 0, max(len(c.recent)-recentEntries, 0))
 	}
 	return skipped
 }
--- a/internal/catalog/stats.go
+++ b/internal/catalog/stats.go
@@ -12,12 +12,12 @@
 
 // Stats are counts of what a task has read.
 type Stats struct {
-	// Behind is how long another gateway has reported newer state.
+	// Behind is how long another gateway has reported newer state of a section.
 	Behind time.Duration
 	// BytesReceived counts the bytes of the store's responses.
 	BytesReceived uint64
-	// ReadsCut counts the reads of the store that ended early after the first byte
-	// of the response.
+	// ReadsCut counts the reads of the store that ended before the response was
+	// complete. Reads of the upstreams without a response count as an outage instead.
 	ReadsCut uint64
 	// FetchesFailed counts the failed fetches from other gateways.
 	FetchesFailed uint64
