--- a/internal/catalog/core_test.go
+++ b/internal/catalog/core_test.go
@@ -172,8 +172,7 @@
 	}
 }
 
-// A revision of one section says nothing about the others: a section whose own
-// changes have not arrived must not skip them.
+// A newer revision of one section must not hide changes of another.
 func TestSectionsHaveRevisionsOfTheirOwn(t *testing.T) {
 	c := settledCore(entry("table", "3", 2), entry("up/a", "", 3))
 	c.ApplyChanges(start, RoutingTable, []Entry{entry("table", "4", 15)}, 15)
--- a/internal/catalog/task_test.go
+++ b/internal/catalog/task_test.go
@@ -305,8 +305,7 @@
 	})
 }
 
-// A complete read that a fetch interrupts says nothing about the store: entries that
-// are removed right after it are deleted, not expired.
+// Entries that are removed after an interrupted read are deleted, not expired.
 func TestInterruptedLoadIsNoOutage(t *testing.T) {
 	runTask(t, func(t *testing.T, s *fakeStore, task *Task) {
 		task.Fetch = func(context.Context, string, *wire.FetchRequest, func(int)) (*wire.StatePart, error) {
@@ -324,8 +323,7 @@
 	})
 }
 
-// A gateway that starts reports the table's own revision, not that of other changes:
-// the others would fetch a table that they have.
+// With a newer revision than the table's own, others would fetch a table they have.
 func TestStartReportsRevisionOfTheTable(t *testing.T) {
 	runTask(t, func(t *testing.T, _ *fakeStore, task *Task) {
 		assert.Equal(t, task.Revisions(), Revisions{RoutingTable: 1, Upstreams: 2, DataCentresOut: 2})
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -110,8 +110,7 @@
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
 }
 
-// A value that takes longer than responseTimeout to arrive is read whole, as long as
-// it keeps arriving. A response that stalls ends the call.
+// A value that keeps arriving is read whole; a response that stalls ends the call.
 func TestSlowValueIsReadWhole(t *testing.T) {
 	const parts, partBytes = 8, 100 << 10
 	tests := []struct {
