Move the event loop of the policy simulation to a package of its own

A simulation of gateways that send to engines directly needs the same loop. Moved as it is, with exported names; nothing changes in what it does.

--- a/internal/measure/call.go
+++ b/internal/measure/call.go
@@ -70,7 +70,7 @@
 	if c.done {
 		return
 	}
-	for _, e := range c.core.Handle(c.sim.loop.now, m) {
+	for _, e := range c.core.Handle(c.sim.loop.Now, m) {
 		c.carryOut(e)
 	}
 }
@@ -93,7 +93,7 @@
 func (c *call) wakeAt(t time.Time) {
 	c.timerGeneration++
 	generation := c.timerGeneration
-	c.sim.loop.at(t, func() {
+	c.sim.loop.At(t, func() {
 		if generation == c.timerGeneration {
 			c.handle(dispatch.Ticked{})
 		}
@@ -143,7 +143,7 @@
 // sendToSidecar runs f at the sidecar after the one-way network delay.
 func (a *attempt) sendToSidecar(f func()) {
 	sim := a.call.sim
-	sim.loop.after(sim.delay(a.call.gateway, a.sidecar), f)
+	sim.loop.After(sim.delay(a.call.gateway, a.sidecar), f)
 }
 
 // sendToGateway delivers m to the gateway after the one-way network delay.
@@ -153,7 +153,7 @@
 }
 
 func (a *attempt) deliver(delay time.Duration, m dispatch.Message) {
-	a.call.sim.loop.after(delay, func() {
+	a.call.sim.loop.After(delay, func() {
 		if a.closed {
 			return
 		}
@@ -168,7 +168,7 @@
 
 func (c *call) recordFirstToken(m dispatch.Message) {
 	if _, ok := m.(dispatch.HeadReceived); ok && c.firstTokenAt.IsZero() {
-		c.firstTokenAt = c.sim.loop.now
+		c.firstTokenAt = c.sim.loop.Now
 	}
 }
 
@@ -189,7 +189,7 @@
 // missCause returns why the call missed its class's targets, or the empty string
 // if it met them.
 func (c *call) missCause(code result.Code) string {
-	now := c.sim.loop.now
+	now := c.sim.loop.Now
 	switch {
 	case code != result.OK:
 		return code.String()
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/eventloop"
 	"jasminewing.dev/jasminewing/pkg/table"
 )
 
@@ -57,7 +58,7 @@
 // engine is a simulated engine with continuous batching: jobs up to its limit run
 // concurrently, and the others wait in a FIFO queue.
 type engine struct {
-	loop *loop
+	loop *eventloop.Loop
 	row  table.Upstream
 	// slowdown multiplies the engine's times; 1 for a healthy engine.
 	slowdown float64
@@ -135,7 +136,7 @@
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, j)
 		j.onStart()
-		e.loop.after(e.prefill(), func() { e.emitFirstToken(j) })
+		e.loop.After(e.prefill(), func() { e.emitFirstToken(j) })
 	}
 	e.scheduleNextEnd()
 }
@@ -160,7 +161,7 @@
 
 // updateProgress advances the progress of the decoding jobs to the current time.
 func (e *engine) updateProgress() {
-	now := e.loop.now
+	now := e.loop.Now
 	if n := e.decodingCount(); n > 0 {
 		tokens := float64(now.Sub(e.progressAt)) / float64(e.tokenGap())
 		e.progress += tokens
@@ -194,7 +195,7 @@
 		return
 	}
 	wait := time.Duration(max(next.endProgress-e.progress, 0) * float64(e.tokenGap()))
-	e.loop.after(wait, func() {
+	e.loop.After(wait, func() {
 		if generation == e.generation {
 			e.updateProgress()
 			e.complete(next)
@@ -258,7 +259,7 @@
 	for _, j := range lost {
 		j.onEnd(jobLost)
 	}
-	e.loop.after(restartTime, func() {
+	e.loop.After(restartTime, func() {
 		e.down = false
 		e.instance++
 		e.turnCold()
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -81,7 +81,7 @@
 	const factor = 5
 	e := sim.firstEngine()
 	e.setSlowdown(factor)
-	sim.loop.after(faultDuration, func() { e.setSlowdown(1) })
+	sim.loop.After(faultDuration, func() { e.setSlowdown(1) })
 }
 
 // crash crashes the first engine.
@@ -96,5 +96,5 @@
 func dataCentreOut(sim *simulation) {
 	dc := sim.deployment.dataCentres()[0]
 	sim.setDataCentreState(dc, table.Out)
-	sim.loop.after(faultDuration, func() { sim.setDataCentreState(dc, table.In) })
+	sim.loop.After(faultDuration, func() { sim.setDataCentreState(dc, table.In) })
 }
--- a/internal/measure/sidecar.go
+++ b/internal/measure/sidecar.go
@@ -71,12 +71,12 @@
 
 func (sc *sidecar) start() {
 	sc.report()
-	sc.sim.loop.every(reportInterval, sc.timerOffset, sc.report)
+	sc.sim.loop.Every(reportInterval, sc.timerOffset, sc.report)
 	if sc.core == nil {
 		return
 	}
-	sc.sim.loop.every(tickInterval, sc.timerOffset, func() { sc.handle(admission.Ticked{}) })
-	sc.sim.loop.every(healthInterval, sc.timerOffset, sc.checkHealth)
+	sc.sim.loop.Every(tickInterval, sc.timerOffset, func() { sc.handle(admission.Ticked{}) })
+	sc.sim.loop.Every(healthInterval, sc.timerOffset, sc.checkHealth)
 }
 
 // report sends the current state to all gateways: the sidecar's state, or the
@@ -93,7 +93,7 @@
 		lag = 0
 	}
 	for _, g := range sc.sim.gateways {
-		sc.sim.loop.after(lag+sc.sim.delay(g, sc), func() { g.pool.SetReport(sc.sim.loop.now, sc.candidate(), r) })
+		sc.sim.loop.After(lag+sc.sim.delay(g, sc), func() { g.pool.SetReport(sc.sim.loop.Now, sc.candidate(), r) })
 	}
 }
 
@@ -128,7 +128,7 @@
 // handle passes a message to the state machine of package admission and carries
 // out its effects.
 func (sc *sidecar) handle(m admission.Message) {
-	for _, e := range sc.core.Handle(sc.sim.loop.now, m) {
+	for _, e := range sc.core.Handle(sc.sim.loop.Now, m) {
 		switch e := e.(type) {
 		case admission.Grant:
 			sc.grant(e.ID)
@@ -145,7 +145,7 @@
 
 func (sc *sidecar) grant(id admission.OfferID) {
 	a := sc.offers[id]
-	sc.starvation.granted(sc.sim.loop.now, a.call)
+	sc.starvation.granted(sc.sim.loop.Now, a.call)
 	a.sendToGateway(dispatch.Granted{Attempt: a.number})
 }
 
@@ -203,7 +203,7 @@
 }
 
 func (sc *sidecar) forward(a *attempt) {
-	a.forwardedAt = sc.sim.loop.now
+	a.forwardedAt = sc.sim.loop.Now
 	a.call.upstream = sc.vm.Upstream
 	sc.sim.stats.recordForward(sc)
 	a.job = &job{
@@ -217,12 +217,12 @@
 
 func (a *attempt) handleStart() {
 	if a.call.startedAt.IsZero() {
-		a.call.startedAt = a.call.sim.loop.now
+		a.call.startedAt = a.call.sim.loop.Now
 	}
 }
 
 func (sc *sidecar) handleFirstToken(a *attempt) {
-	a.firstTokenAt = sc.sim.loop.now
+	a.firstTokenAt = sc.sim.loop.Now
 	a.sendToGateway(dispatch.HeadReceived{Attempt: a.number})
 	a.sendToGateway(dispatch.ChunkReceived{Attempt: a.number, Tokens: 1})
 	if sc.core != nil {
@@ -238,7 +238,7 @@
 	}
 	f := admission.Finished{ID: a.offerID, Clean: e == jobCompleted, Tokens: generated}
 	if generated > 1 {
-		f.TokenGap = sc.sim.loop.now.Sub(a.firstTokenAt) / time.Duration(generated-1)
+		f.TokenGap = sc.sim.loop.Now.Sub(a.firstTokenAt) / time.Duration(generated-1)
 		a.sendToGateway(dispatch.ChunkReceived{Attempt: a.number, Tokens: generated - 1})
 	}
 	switch e {
--- a/internal/measure/simulation.go
+++ b/internal/measure/simulation.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/eventloop"
 	"jasminewing.dev/jasminewing/internal/dispatch"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/pkg/result"
@@ -54,15 +55,15 @@
 		random:     rand.New(rand.NewPCG(r.Seed, faultStream)),
 		stats:      newStats(r.Deployment),
 	}
-	sim.loop.now = sim.start
+	sim.loop.Now = sim.start
 	sim.build()
 	for i, t := range r.Deployment.Traffic {
 		sim.generate(t, rand.New(rand.NewPCG(r.Seed, trafficStream+uint64(i))))
 	}
 	if r.Load.Fault != nil {
-		sim.loop.at(sim.windowStart().Add(faultDelay), func() { r.Load.Fault(sim) })
+		sim.loop.At(sim.windowStart().Add(faultDelay), func() { r.Load.Fault(sim) })
 	}
-	sim.loop.runUntil(sim.windowEnd())
+	sim.loop.RunUntil(sim.windowEnd())
 	sim.drain()
 	sim.close()
 	return sim.stats
@@ -78,7 +79,7 @@
 	warmUp     time.Duration
 	window     time.Duration
 	random     *rand.Rand
-	loop       loop
+	loop       eventloop.Loop
 	gateways   []*gateway
 	sidecars   []*sidecar
 	// outSince is the time at which each data centre that is out was taken out.
@@ -99,8 +100,8 @@
 // drain continues until no call is open, for maxDrain at most.
 func (sim *simulation) drain() {
 	const step = time.Second
-	for sim.openCalls() > 0 && sim.loop.now.Before(sim.windowEnd().Add(maxDrain)) {
-		sim.loop.runUntil(sim.loop.now.Add(step))
+	for sim.openCalls() > 0 && sim.loop.Now.Before(sim.windowEnd().Add(maxDrain)) {
+		sim.loop.RunUntil(sim.loop.Now.Add(step))
 	}
 }
 
@@ -147,15 +148,15 @@
 func (sim *simulation) setDataCentreState(dc table.DataCentreName, state table.State) {
 	delete(sim.outSince, dc)
 	if state == table.Out {
-		sim.outSince[dc] = sim.loop.now
+		sim.outSince[dc] = sim.loop.Now
 	}
 	for _, sc := range sim.sidecars {
 		if sc.vm.DataCentre == dc {
-			sim.loop.after(sim.propagationDelay(), func() { sc.configure(state == table.Out) })
+			sim.loop.After(sim.propagationDelay(), func() { sc.configure(state == table.Out) })
 		}
 	}
 	for _, g := range sim.gateways {
-		sim.loop.after(sim.propagationDelay(), func() { g.setOut(dc, state == table.Out) })
+		sim.loop.After(sim.propagationDelay(), func() { g.setOut(dc, state == table.Out) })
 	}
 }
 
@@ -174,13 +175,13 @@
 	}
 	var next func()
 	next = func() {
-		if !sim.loop.now.Before(sim.windowEnd()) {
+		if !sim.loop.Now.Before(sim.windowEnd()) {
 			return
 		}
 		sim.balance(sim.newCall(t, class, accounts, random), random)
-		sim.loop.after(sim.interarrivalTime(t, steadyRate, random), next)
+		sim.loop.After(sim.interarrivalTime(t, steadyRate, random), next)
 	}
-	sim.loop.after(sim.interarrivalTime(t, steadyRate, random), next)
+	sim.loop.After(sim.interarrivalTime(t, steadyRate, random), next)
 }
 
 // interarrivalTime returns the time to the next request. In the first half of
@@ -189,7 +190,7 @@
 func (sim *simulation) interarrivalTime(t Traffic, steadyRate float64, random *rand.Rand) time.Duration {
 	const coldShare = 0.3
 	rate := steadyRate
-	switch since := sim.loop.now.Sub(sim.start); {
+	switch since := sim.loop.Now.Sub(sim.start); {
 	case since < sim.warmUp/2:
 		rate *= coldShare
 	case since >= sim.warmUp:
@@ -206,7 +207,7 @@
 		service: class.Service,
 		account: drawAccount(accounts, random),
 		tokens:  sim.deployment.drawTokens(t, random),
-		arrived: sim.loop.now,
+		arrived: sim.loop.Now,
 	}
 	if len(t.Services) > 0 {
 		c.service = t.Services[random.IntN(len(t.Services))]
--- a/internal/measure/stats.go
+++ b/internal/measure/stats.go
@@ -87,7 +87,7 @@
 	cause := c.missCause(code)
 	if c.class.Kind == table.Engine && code == result.OK {
 		s.Delivered += float64(c.tokens)
-		if cause == "" && sim.inWindow(sim.loop.now) {
+		if cause == "" && sim.inWindow(sim.loop.Now) {
 			s.goodTokens += float64(c.tokens)
 			s.Goodput = s.goodTokens / sim.window.Seconds()
 		}
@@ -112,7 +112,7 @@
 // if none did.
 func (c *call) waited() time.Duration {
 	if c.startedAt.IsZero() {
-		return c.sim.loop.now.Sub(c.arrived)
+		return c.sim.loop.Now.Sub(c.arrived)
 	}
 	return c.startedAt.Sub(c.arrived)
 }
@@ -138,7 +138,7 @@
 func (s *Stats) recordForward(sc *sidecar) {
 	sim := sc.sim
 	since, out := sim.outSince[sc.vm.DataCentre]
-	if out && sim.loop.now.Sub(since) > maxPropagation {
+	if out && sim.loop.Now.Sub(since) > maxPropagation {
 		s.ForwardedWhenOut++
 	}
 }
