--- a/internal/measure/simulation.go
+++ b/internal/measure/simulation.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"jasminewing.dev/jasminewing/internal/eventloop"
 	"jasminewing.dev/jasminewing/internal/dispatch"
+	"jasminewing.dev/jasminewing/internal/eventloop"
 	"jasminewing.dev/jasminewing/internal/fleet"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
