Order requests by the priority of account and route together

Cause: a client account's priority replaced the route's. "Takes precedence" says that the account's priority goes first, not that the route's is forgotten among accounts with the same one.

Now a request's rank is its place among the pairs (account's priority, or the route's if it has none; route's priority) that occur in the table. With accounts of different priorities the order is as it was. More than ten pairs share the ten priorities that engines know, neighbours first.

Alone it is not enough: engines admit all that fits.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -81,7 +81,7 @@
 	p := AttemptParams{
 		Upstream:    a.grant.Upstream.ID,
 		Timeout:     time.Until(a.call.deadline),
-		Priority:    a.call.route.PriorityFor(a.call.account),
+		Rank:        a.call.rank,
 		LastEventID: a.call.LastEventID,
 		KVSource:    a.grant.KVSource,
 	}
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -53,6 +53,7 @@
 	deadline time.Time
 	route    *route.Route
 	account  *route.Account
+	rank     route.Rank
 	version  route.Version
 	service  route.ServiceName
 	// fingerprint is the same for all retries of the request.
@@ -77,8 +78,8 @@
 	// Account is empty if the caller has no client account.
 	Account route.AccountName
 	// Timeout is the time left until the deadline of the request.
-	Timeout  time.Duration
-	Priority route.Priority
+	Timeout time.Duration
+	Rank    route.Rank
 	// LastEventID is the event after which the stream resumes; empty to start a
 	// new stream.
 	LastEventID string
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -158,6 +158,7 @@
 	if !ok && !c.route.Public && len(table.Accounts) > 0 {
 		return result.Errorf(result.BadKey, "the key belongs to no client account")
 	}
+	c.rank = table.RankFor(c.route, c.account)
 	timeout := c.timeoutOrDefault()
 	if c.route.Timeout > 0 {
 		timeout = min(timeout, c.route.Timeout)
@@ -230,7 +231,7 @@
 	c := p.call
 	q := placement.Request{
 		Service:      c.service,
-		Priority:     c.route.PriorityFor(c.account),
+		Rank:         c.rank,
 		Objective:    c.route.Objective,
 		Deadline:     c.deadline,
 		Prompt:       c.Prompt,
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -157,14 +157,14 @@
 	return nil
 }
 
-// schedule grants upstreams to waiting requests, in order of priority and then of
+// schedule grants upstreams to waiting requests, in order of rank and then of
 // arrival, and refuses those that have waited too long.
 func (c *Core) schedule(now time.Time) []Effect {
 	if len(c.waiting) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(c.waiting, func(a, b *waitingRequest) int {
-		return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), a.since.Compare(b.since))
+		return cmp.Or(cmp.Compare(a.request.Rank, b.request.Rank), a.since.Compare(b.since))
 	})
 	var out []Effect
 	remaining := c.waiting[:0]
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -265,7 +265,7 @@
 	v.Table.Services[0].Engine.BatchSize = 1
 	c := newCore(v, 5)
 	late, urgent := question(2), question(3)
-	late.Priority = 2
+	late.Rank = 2
 	assert.Equal(t, enqueue(t, c, start, 1, question(1)), route.UpstreamID("e00"))
 	assert.Equal(t, enqueue(t, c, start, 2, late), route.UpstreamID(""))
 	assert.Equal(t, enqueue(t, c, start, 3, urgent), route.UpstreamID(""))
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -44,7 +44,7 @@
 // Request holds the properties of a request that affect its placement.
 type Request struct {
 	Service   route.ServiceName
-	Priority  route.Priority
+	Rank      route.Rank
 	Objective time.Duration
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Time
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -27,6 +27,9 @@
 	AccountName string
 	// Priority orders requests. 0 is the highest priority.
 	Priority int
+	// Rank orders requests by the priorities of account and route together. 0 is the
+	// most urgent.
+	Rank int
 )
 
 // RetryPolicy determines how a request that may have run can be retried.
@@ -117,7 +120,8 @@
 type Account struct {
 	Name AccountName
 	Keys []string
-	// Priority overrides the route's priority if it is not nil.
+	// Priority goes before the route's priority if it is not nil. The route's priority
+	// then orders the requests of accounts with the same priority.
 	Priority *Priority
 }
 
@@ -138,6 +142,8 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Account
 	byService map[ServiceName]*Service
+	// urgencies are the urgencies of the requests in the table, in order.
+	urgencies []urgency
 }
 
 // Index builds the lookup maps of the table. It must be called once before use.
@@ -164,6 +170,7 @@
 	for i := range t.Services {
 		t.byService[t.Services[i].Name] = &t.Services[i]
 	}
+	t.urgencies = t.collectUrgencies()
 }
 
 // Match returns the route with the longest prefix that matches the host, with or
@@ -214,12 +221,3 @@
 	}
 	return r.TrafficSplit[len(r.TrafficSplit)-1].Service
 }
-
-// PriorityFor returns the priority of an account's requests on this route. The
-// account may be nil.
-func (r *Route) PriorityFor(a *Account) Priority {
-	if a != nil && a.Priority != nil {
-		return *a.Priority
-	}
-	return r.Priority
-}
