--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,6 +9,7 @@
 //	standin platform --listen 127.0.0.1:8003 --directory examples/table
 //	standin load --gateway 127.0.0.1:8080 --mix class=chat,key=KEY,model=m
 //	standin measure --seed-from 101 --seeds 5
+//	standin simulate --factor 1 --factor 3.5
 //
 // Each server prints `listening ADDRESS` as its first line, and stops on SIGTERM.
 package main
@@ -56,6 +57,7 @@
 		{"booking", "Run a simulated booking service", &bookingCommand{commandBase: p}},
 		{"platform", "Run a simulated configuration service and VM list", &platformCommand{commandBase: p}},
 		{"load", "Send load to a gateway", &loadCommand{commandBase: p}},
+		{"simulate", "Play loads on simulated engines without sidecars, as CSV", &simulateCommand{commandBase: p}},
 		{"measure", "Compare dispatch policies in simulated time", &measureCommand{commandBase: p}},
 	}
 	for _, c := range commands {
