Leave room on engines for more urgent requests

Cause: gateways granted all that a batch could hold. Each step of an engine that processes prompts takes the time of a chunk, so 64 streams that run beside it get a token each 50 ms and more: a digest of 380 tokens takes 20 s of its 12. The work is spent and lost, callers come again, and the most urgent requests are late by their pauses on the same engines.

Now, by rank among the ranks of the service's recent requests: - the least urgent tier fills a share of a batch, from 0.2 up while requests need less than 0.4 of their time and down when they need more; tiers between fill more, the most urgent all; - it is granted an engine only if the prompts that wait there take a tenth of its objective or less, and waits for the engine with the lowest cost instead of having shared parts computed elsewhere; - after 12 grants of others one goes beyond these limits, so that a flood of questions starves nobody. The passes over the queue are limited to one in 10 ms, sums of load reports are kept instead of added up anew, and engines that are cold or avoided are no preferred ones.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -68,9 +68,10 @@
 	return ch.load.holder.upstream.Address
 }
 
-// choose returns the available upstream with the lowest cost for the request.
+// choose returns the available upstream with the lowest cost for the request, within
+// the limits of admission.
 // Ties go to the smallest upstream ID.
-func (c *Core) choose(now time.Time, r *Request) choice {
+func (c *Core) choose(now time.Time, r *Request, l limits) choice {
 	var best choice
 	if r.Deadline.Sub(now) < minTimeLeft {
 		return best
@@ -81,8 +82,8 @@
 		if !m.eligible(r.Service) {
 			continue
 		}
-		load := c.projectLoad(now, m, r, p)
-		if !c.available(now, m, r, load) {
+		load := c.projectLoad(m, r, p)
+		if !c.available(now, m, r, load) || !l.waitForBest && !l.allow(m, load.Load) {
 			continue
 		}
 		wait, cost := c.cost(now, m, r, p, load)
@@ -91,6 +92,9 @@
 			best = choice{member: m, expected: wait, load: load}
 		}
 	}
+	if best.member != nil && !l.allow(best.member, best.load.Load) {
+		return choice{}
+	}
 	return best
 }
 
@@ -112,8 +116,8 @@
 	prefillTokens, fetchedTokens int
 }
 
-func (c *Core) projectLoad(now time.Time, m *member, r *Request, p preference) projectedLoad {
-	sum := c.peerLoad(now, m.key)
+func (c *Core) projectLoad(m *member, r *Request, p preference) projectedLoad {
+	sum := c.peerLoad(m.key)
 	sum.InFlight += m.inFlight
 	sum.WaitingTokens += m.waitingTokens
 	sum.MemoryTokens += m.memoryTokens
@@ -142,28 +146,6 @@
 		(load.InFlight == 0 || float64(load.MemoryTokens+load.prefillTokens+load.fetchedTokens+r.OutputTokens) <= memoryFraction*float64(e.MemoryTokens))
 }
 
-// peerLoad estimates what the other gateways have in flight at an upstream. In a
-// large fleet only some gateways have a recent report, so the sum of these is
-// scaled up to all live peers.
-func (c *Core) peerLoad(now time.Time, key LoadKey) Load {
-	var sum Load
-	fresh := 0
-	for _, report := range c.peerReports {
-		if now.Sub(report.at) > peerReportTTL {
-			continue
-		}
-		fresh++
-		l := report.loads[key]
-		sum.InFlight += l.InFlight
-		sum.WaitingTokens += l.WaitingTokens
-		sum.MemoryTokens += l.MemoryTokens
-	}
-	if fresh > 0 && fresh < c.livePeers {
-		sum = sum.scaled(float64(c.livePeers) / float64(fresh))
-	}
-	return sum
-}
-
 // cost returns the expected time until the response starts, and the total cost
 // of the choice expressed as a duration.
 func (c *Core) cost(now time.Time, m *member, r *Request, p preference, load projectedLoad) (wait, cost time.Duration) {
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -18,8 +18,6 @@
 	// gatewayMargin is added to the number of known gateways to account for a
 	// gateway that has just started.
 	gatewayMargin = 1
-	// peerReportTTL is how long a load report from another gateway is valid.
-	peerReportTTL = 2 * time.Second
 	// maxWaitFraction is the fraction of its objective that a request may wait in
 	// the queue.
 	maxWaitFraction = 0.6
@@ -32,6 +30,9 @@
 	retryAfterFraction = 0.2
 	// maxRetryAfter is the upper limit of the retry delay before jitter.
 	maxRetryAfter = 1500 * time.Millisecond
+	// minScheduleInterval is the minimum time between two passes over the waiting
+	// requests.
+	minScheduleInterval = 10 * time.Millisecond
 )
 
 // Core makes the placement decisions of one gateway. The exported fields must be
@@ -43,16 +44,23 @@
 	// Cold limits what all gateways together send to a cold upstream.
 	Cold ColdBounds
 
-	members     map[route.UpstreamID]*member
-	waiting     []*waitingRequest
-	assignments map[Ticket]*assignment
-	peerReports map[string]peerReport
+	members map[route.UpstreamID]*member
+	waiting []*waitingRequest
+	// lastScheduled is when the waiting requests were last considered.
+	lastScheduled time.Time
+	assignments   map[Ticket]*assignment
+	peerReports   map[string]peerReport
+	// peerLoads is the sum of the reports in peerReports.
+	peerLoads map[LoadKey]Load
 	// gateways is the number of gateways, rank the rank of this gateway among them,
 	// and livePeers the number of other gateways that are not silent.
 	gateways, rank, livePeers int
 	randomCounter             uint64
+	// tiers holds the ranks of each service's recent requests.
+	tiers map[route.ServiceName]*tiers
 }
 
+// peerReport is the last load report of another gateway.
 type peerReport struct {
 	at    time.Time
 	loads map[LoadKey]Load
@@ -74,6 +82,8 @@
 	prefillTokens int
 	memoryTokens  int
 	started       bool
+	class         capacityClass
+	deadline      time.Time
 }
 
 // Handle processes one message and returns the resulting effects.
@@ -84,7 +94,9 @@
 	case ViewUpdate:
 		c.applyView(now, m.View)
 	case Enqueue:
-		c.waiting = append(c.waiting, &waitingRequest{ticket: m.Ticket, request: m.Request, since: now})
+		if e := c.admitAtOnce(now, m); e != nil {
+			return []Effect{e}
+		}
 	case ResponseStarted:
 		c.markStarted(now, m.Ticket)
 	case Done:
@@ -92,11 +104,35 @@
 	case Cancelled:
 		c.waiting = slices.DeleteFunc(c.waiting, func(w *waitingRequest) bool { return w.ticket == m.Ticket })
 	case PeerLoads:
+		c.expirePeerReports(now)
+		c.forgetPeer(m.Gateway)
 		c.peerReports[m.Gateway] = peerReport{now, m.Loads}
+		c.addPeerLoads(m.Loads, 1)
 	case Membership:
 		c.gateways, c.rank, c.livePeers = m.Count, m.Rank, m.LivePeers
 	}
-	return append(out, c.schedule(now)...)
+	if _, released := m.(Done); released || now.Sub(c.lastScheduled) >= minScheduleInterval {
+		c.lastScheduled = now
+		out = append(out, c.schedule(now)...)
+	}
+	return out
+}
+
+// admitAtOnce decides about a new request that no other request waits ahead of, or
+// queues it. It returns nil if the request waits.
+func (c *Core) admitAtOnce(now time.Time, m Enqueue) Effect {
+	c.countTier(now, &m.Request)
+	w := &waitingRequest{ticket: m.Ticket, request: m.Request, since: now}
+	ahead := func(o *waitingRequest) bool {
+		return o.request.Service == m.Request.Service && o.request.Rank <= m.Request.Rank
+	}
+	if !slices.ContainsFunc(c.waiting, ahead) {
+		if e := c.decide(now, w, map[capacityClass]bool{}); e != nil {
+			return e
+		}
+	}
+	c.waiting = append(c.waiting, w)
+	return nil
 }
 
 func (c *Core) init() {
@@ -104,6 +140,8 @@
 		c.members = make(map[route.UpstreamID]*member)
 		c.assignments = make(map[Ticket]*assignment)
 		c.peerReports = make(map[string]peerReport)
+		c.peerLoads = make(map[LoadKey]Load)
+		c.tiers = make(map[route.ServiceName]*tiers)
 	}
 }
 
@@ -115,7 +153,7 @@
 		present[u.ID] = true
 		known := c.members[u.ID]
 		if known == nil || known.upstream.StartedAtMillis != u.StartedAtMillis || known.upstream.Address != u.Address {
-			known = &member{cache: newPrefixCache(), key: LoadKeyOf(u.ID)}
+			known = &member{cache: newPrefixCache(), key: LoadKeyOf(u.ID), hash: xxhash.Sum64String(string(u.ID))}
 			c.members[u.ID] = known
 		}
 		known.update(now, u, v)
@@ -148,6 +186,7 @@
 	}
 	c.markStarted(now, t)
 	delete(c.assignments, t)
+	c.observePace(now, a, o)
 	m := a.member
 	m.inFlight--
 	m.memoryTokens -= a.memoryTokens
@@ -157,19 +196,31 @@
 	return nil
 }
 
+// observePace records how much of its time a request of the least urgent tier needed.
+// Requests that ended early for another reason say nothing about it.
+func (c *Core) observePace(now time.Time, a *assignment, o Outcome) {
+	t := c.tiers[a.class.service]
+	if t.position(a.class.rank) < 1 || o != Served && now.Before(a.deadline) {
+		return
+	}
+	t.pace.observe(now.Sub(a.sent), a.deadline.Sub(a.sent))
+}
+
 // schedule grants upstreams to waiting requests, in order of rank and then of
 // arrival, and refuses those that have waited too long.
 func (c *Core) schedule(now time.Time) []Effect {
 	if len(c.waiting) == 0 {
 		return nil
 	}
+	c.expirePeerReports(now)
 	slices.SortStableFunc(c.waiting, func(a, b *waitingRequest) int {
 		return cmp.Or(cmp.Compare(a.request.Rank, b.request.Rank), a.since.Compare(b.since))
 	})
 	var out []Effect
 	remaining := c.waiting[:0]
+	full := make(map[capacityClass]bool)
 	for _, w := range c.waiting {
-		e := c.decide(now, w)
+		e := c.decide(now, w, full)
 		if e == nil {
 			remaining = append(remaining, w)
 			continue
@@ -181,12 +232,18 @@
 	return out
 }
 
-// decide returns the effect for a waiting request, or nil if it keeps waiting.
-func (c *Core) decide(now time.Time, w *waitingRequest) Effect {
+// decide returns the effect for a waiting request, or nil if it keeps waiting. Classes
+// in full are known to have no room; decide adds to them.
+func (c *Core) decide(now time.Time, w *waitingRequest, full map[capacityClass]bool) Effect {
 	r := &w.request
-	if ch := c.choose(now, r); ch.member != nil {
-		c.assign(now, w, ch)
-		return Grant{w.ticket, ch.member.upstream, ch.expected, ch.kvSource()}
+	class := capacityClass{r.Service, r.Rank}
+	if !full[class] {
+		l := c.limitsFor(class, r.Objective)
+		if ch := c.choose(now, r, l); ch.member != nil {
+			c.assign(now, w, ch)
+			return Grant{w.ticket, ch.member.upstream, ch.expected, ch.kvSource()}
+		}
+		full[class] = !c.hasRoom(class, l)
 	}
 	maxWait := time.Duration(maxWaitFraction * float64(r.Objective))
 	if now.Sub(w.since) >= maxWait || r.Deadline.Sub(now) < minTimeLeft {
@@ -227,7 +284,8 @@
 
 func (c *Core) assign(now time.Time, w *waitingRequest, ch choice) {
 	m := ch.member
-	a := &assignment{member: m, sent: now, expected: ch.expected}
+	a := &assignment{member: m, sent: now, expected: ch.expected, deadline: w.request.Deadline}
+	a.class = capacityClass{w.request.Service, w.request.Rank}
 	a.prefillTokens = ch.load.prefillTokens
 	a.memoryTokens = ch.load.prefillTokens + ch.load.fetchedTokens + w.request.OutputTokens
 	m.inFlight++
@@ -237,6 +295,7 @@
 	m.cache.add(w.request.Prompt)
 	m.recordColdAttempt(now, c.coldSchedule())
 	c.assignments[w.ticket] = a
+	c.tiers[w.request.Service].granted(w.request.Rank)
 }
 
 // Loads returns the load that this gateway has in flight per upstream, to be
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -30,8 +30,10 @@
 
 // member is the state that this gateway keeps for an upstream.
 type member struct {
-	upstream      route.Upstream
-	key           LoadKey
+	upstream route.Upstream
+	key      LoadKey
+	// hash is a hash of the upstream ID.
+	hash          uint64
 	service       *route.Service
 	dataCentreOut bool
 	// reservedForShort is true if the engine is reserved for short prompts.
--- a/internal/placement/preference.go
+++ b/internal/placement/preference.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +46,7 @@
 	if len(r.Prompt) == 0 {
 		return p
 	}
-	c.rankEngines(r, &p)
+	c.rankEngines(now, r, &p)
 	c.findHolder(now, r, &p)
 	return p
 }
@@ -67,7 +66,7 @@
 			continue
 		}
 		held := all - m.cache.missingTokens(parts)
-		if held > most || held == most && held > 0 && m.upstream.ID == p.first {
+		if held > most || held == most && held > 0 && preferredHolder(m, p) {
 			p.holder, most = m, held
 		}
 	}
@@ -77,22 +76,29 @@
 	}
 }
 
+// preferredHolder reports whether an engine goes before the present holder, which has
+// as many tokens cached: the first choice does, then the smaller ID.
+func preferredHolder(m *member, p *preference) bool {
+	id, present := m.upstream.ID, p.holder.upstream.ID
+	return id == p.first || present != p.first && id < present
+}
+
 // canServeFetches reports whether other engines may fetch from the engine.
 func (m *member) canServeFetches(now time.Time, s route.ServiceName) bool {
 	return m.eligible(s) && !now.Before(m.avoidedUntil) && m.overdue(now) <= 0
 }
 
 // rankEngines sets the first and second choice for a prompt by rendezvous hashing.
-func (c *Core) rankEngines(r *Request, p *preference) {
+func (c *Core) rankEngines(now time.Time, r *Request, p *preference) {
 	// The second to last part is the most specific part that requests share.
-	key := strconv.FormatUint(uint64(r.Prompt[max(len(r.Prompt)-2, 0)].ID), 16)
+	part := r.Prompt[max(len(r.Prompt)-2, 0)].ID
 	var firstHash, secondHash uint64
 	for _, m := range c.members {
 		id := m.upstream.ID
-		if !m.eligible(r.Service) || m.reservedForShort != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
+		if !m.eligible(r.Service) || now.Before(m.avoidedUntil) || now.Before(m.coldUntil) || m.reservedForShort != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
 			continue
 		}
-		switch h := xxhash.Sum64String(key + "/" + string(id)); {
+		switch h := rendezvousHash(part, m.hash); {
 		case p.first == "" || h > firstHash:
 			p.second, secondHash = p.first, firstHash
 			p.first, firstHash = id, h
@@ -102,6 +108,15 @@
 	}
 }
 
+// rendezvousHash returns the weight of an engine for a prompt part. It is the same on
+// all gateways.
+func rendezvousHash(part PartID, engine uint64) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15
+	h := (uint64(part)*multiplier ^ engine) * multiplier
+	h = (h ^ h>>32) * multiplier
+	return h ^ h>>29
+}
+
 // reserveShortEngines reserves engines for short prompts: shortEngineFraction of
 // the engines of a service in each data centre, and at least one if there are two
 // or more.
