--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -69,8 +69,7 @@
 }
 
 // choose returns the available upstream with the lowest cost for the request, within
-// the limits of admission.
-// Ties go to the smallest upstream ID.
+// the limits of admission. Ties go to the smallest upstream ID.
 func (c *Core) choose(now time.Time, r *Request, l limits) choice {
 	var best choice
 	if r.Deadline.Sub(now) < minTimeLeft {
