Spread single requests over all idle upstreams

After a data centre was taken back, its first request came after 7 to 20 s.

Cause: a member's load was that after one more request, as a share of its limit: 1 for a cold idle upstream with the limit 1, 1/8 for a warm one. Single requests in sequence all went to the warm one, and the cold one had no work to get warm by.

Now, if the least loaded member is idle, the choice is among all idle ones, by weight. Beside busy ones the order is as it was. Tried and dropped: a load of zero for idle members, which prefers a cold idle one to a warm one with a single request; a case of TestPoolOrder rules that out, and it stays as it is.

TestPoolSpreadsOverIdleUpstreams fails without the change (0 of 4000 requests at one of the idle upstreams).

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -60,12 +60,15 @@
 // its weight. OpenOffers is included because the last report does not yet show
 // the offers made since.
 func (m *Member) load() float64 {
-	busy := max(m.Report.InFlight, m.OpenOffers) + m.Report.Parked
 	limit := max(m.Report.Limit, 1)
-	weight := max(float64(m.Row.Weight), 1)
-	return float64(busy+1) / float64(limit) / weight
+	return float64(m.busy()+1) / float64(limit) / float64(m.weight())
 }
 
+// busy returns the number of requests that run or wait at the upstream.
+func (m *Member) busy() int { return max(m.Report.InFlight, m.OpenOffers) + m.Report.Parked }
+
+func (m *Member) weight() int { return int(max(m.Row.Weight, 1)) }
+
 // Pool holds the members to which a gateway may offer requests. It is safe for
 // concurrent use.
 type Pool struct {
@@ -183,15 +186,23 @@
 // Pick returns the available candidate with the least load that is of the given
 // kind, serves s and is not in tried. Cold candidates at their limit come last,
 // because a cold upstream can take only little load.
+//
+// If that candidate is idle, Pick chooses among all idle ones by weight. Otherwise
+// single requests would all go to the largest upstream, and a cold one, whose limit is
+// small, would stay cold.
 func (p *Pool) Pick(now time.Time, kind table.UpstreamKind, s table.ServiceName, tried map[Candidate]bool) (Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Member
 	equals := 0
+	var idle []*Member
 	for _, m := range p.sorted {
 		if tried[m.Candidate] || !m.Row.CanServe(kind, s) || m.RefusalCode(now) != result.OK {
 			continue
 		}
+		if m.busy() == 0 {
+			idle = append(idle, m)
+		}
 		switch order := compare(m, best); {
 		case order < 0:
 			best, equals = m, 1
@@ -202,12 +213,30 @@
 			}
 		}
 	}
-	if best == nil {
+	switch {
+	case best == nil:
 		return Candidate{}, false
+	case best.busy() == 0 && len(idle) > 1:
+		best = p.pickByWeight(idle)
 	}
 	return best.Candidate, true
 }
 
+// pickByWeight returns a random member with a probability in proportion to its weight.
+func (p *Pool) pickByWeight(members []*Member) *Member {
+	total := 0
+	for _, m := range members {
+		total += m.weight()
+	}
+	left := p.randomBelow(total)
+	for _, m := range members {
+		if left -= m.weight(); left < 0 {
+			return m
+		}
+	}
+	return members[0]
+}
+
 // randomBelow returns a random number in [0, n). Pick replaces its choice by the
 // nth equal member if the number is 0, which gives all equal members the same
 // probability.
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -204,3 +205,31 @@
 	assert.Equal(t, members[0].Report.InFlight, 2)
 	assert.Equal(t, p.RefusalCode(now, candidateNamed("b")), result.SidecarUnreached)
 }
+
+// Single requests in sequence must reach each idle upstream, by weight. If all went to
+// the largest one, an upstream that is cold, and so has a small limit, would get no
+// work and stay cold.
+func TestPoolSpreadsOverIdleUpstreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := &Pool{Seed: 1}
+	var members []Member
+	for i, weight := range []table.Weight{1, 1, 2} {
+		c := candidateNamed(fmt.Sprintf("vm_%d", i))
+		members = append(members, Member{Candidate: c, Row: table.Upstream{Kind: table.Engine, Serves: []table.ServiceName{model}, Weight: weight}})
+	}
+	p.Set(members)
+	reports := []Report{{Limit: 8}, {Limit: 1, Cold: true}, {Limit: 8}}
+	for i, m := range members {
+		p.SetReport(now, m.Candidate, reports[i])
+	}
+	counts := map[fleet.VMName]int{}
+	for range 4000 {
+		c, ok := p.Pick(now, table.Engine, model, nil)
+		assert.Assert(t, ok)
+		counts[c.VM]++
+	}
+	for i, want := range []int{1000, 1000, 2000} {
+		got := counts[members[i].Candidate.VM]
+		assert.Assert(t, got > want*9/10 && got < want*11/10, "upstream %d got %d of 4000 requests, want about %d", i, got, want)
+	}
+}
