--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -22,10 +22,9 @@
 	onEvent func()
 	onEnd   func(completed bool)
 
-	arrival  uint64
-	prefill  int
-	context  int
-	produced int
+	// prefill is the number of prompt tokens still to process, context the length of
+	// the prompt, and produced the number of tokens generated.
+	prefill, context, produced int
 }
 
 // memory returns the memory that the task uses when it completes, in tokens.
@@ -51,9 +50,9 @@
 	decoding   []*task
 	stepping   bool
 	generation int
-	arrivals   uint64
-	reserved   int
-	cache      partCache
+	// reserved is the memory of the tasks in the batch, in tokens.
+	reserved int
+	cache    partCache
 
 	// processed counts prompt tokens, and recomputed those of shared parts that
 	// another engine had cached.
@@ -67,8 +66,6 @@
 	if e.down || len(e.waiting) >= e.model.QueueSize || t.memory() > e.model.MemoryTokens {
 		return false
 	}
-	e.arrivals++
-	t.arrival = e.arrivals
 	e.waiting = append(e.waiting, t)
 	e.step()
 	return true
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -25,7 +25,7 @@
 	eventGapFactor   = 4
 	// maxUnreachedAttempts is that of package direct.
 	maxUnreachedAttempts = 4
-	// bytesPerToken and baseBytes estimate the size of a request and its response.
+	// bytesPerOutputToken is the size of a token of the response on the wire.
 	bytesPerOutputToken = 16
 )
 
