Tell a refusal that keeps room for more urgent requests from a full queue

They ask for different acts: more engines, or another priority.

Cause: refusalCode knew only whether upstreams are published. Nothing is placed or refused otherwise than before. TestRefusalNamesReservedRoom fails without it (3004).

--- a/internal/placement/admission_test.go
+++ b/internal/placement/admission_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"jasminewing.dev/jasminewing/internal/route"
+	"jasminewing.dev/jasminewing/pkg/result"
 )
 
 // layout returns a draft of the least urgent rank, without a backlog of its own.
@@ -90,3 +91,17 @@
 	}
 	assert.Equal(t, len(places), 1, "%v", places)
 }
+
+// A draft that is refused while engines keep room for questions says so, so that
+// operators can tell it from engines that are full.
+func TestRefusalNamesReservedRoom(t *testing.T) {
+	c := newCore(engines(1), 1)
+	assert.Equal(t, grants(t, c, start, 1, 4, question), 4)
+	assert.Assert(t, grants(t, c, start, 100, 64, layout) < 64)
+	now := start.Add(1600 * time.Millisecond)
+	got := c.Handle(now, Ticked{})
+	assert.Assert(t, len(got) > 0)
+	for _, e := range got {
+		assert.Equal(t, e.(Refuse).Code, result.RoomReserved)
+	}
+}
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -64,7 +64,7 @@
 // coldSchedule returns the schedule of this gateway's turns. As long as the
 // fleet is unknown, the rank is derived from the seed.
 func (c *Core) coldSchedule() coldSchedule {
-	t := coldSchedule{bounds: c.Cold, gateways: c.gatewayEstimate(), rank: c.rank}
+	t := coldSchedule{bounds: c.Cold, gateways: c.gatewayEstimate(), rank: c.gatewayRank}
 	if c.gateways == 0 {
 		t.rank = int(c.Seed % assumedGateways)
 	}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -52,10 +52,10 @@
 	peerReports   map[string]peerReport
 	// peerLoads is the sum of the reports in peerReports.
 	peerLoads map[LoadKey]Load
-	// gateways is the number of gateways, rank the rank of this gateway among them,
-	// and livePeers the number of other gateways that are not silent.
-	gateways, rank, livePeers int
-	randomCounter             uint64
+	// gateways is the number of gateways, gatewayRank the rank of this gateway among
+	// them, and livePeers the number of other gateways that are not silent.
+	gateways, gatewayRank, livePeers int
+	randomCounter                    uint64
 	// tiers holds the ranks of each service's recent requests.
 	tiers map[route.ServiceName]*tiers
 }
@@ -109,7 +109,7 @@
 		c.peerReports[m.Gateway] = peerReport{now, m.Loads}
 		c.addPeerLoads(m.Loads, 1)
 	case Membership:
-		c.gateways, c.rank, c.livePeers = m.Count, m.Rank, m.LivePeers
+		c.gateways, c.gatewayRank, c.livePeers = m.Count, m.Rank, m.LivePeers
 	}
 	if _, released := m.(Done); released || now.Sub(c.lastScheduled) >= minScheduleInterval {
 		c.lastScheduled = now
@@ -254,6 +254,10 @@
 
 // refusalCode returns the result code for a request that no upstream could take.
 func (c *Core) refusalCode(r *Request) result.Code {
+	if c.limitsFor(capacityClass{r.Service, r.Rank}, r.Objective).batchShare < 1 &&
+		c.hasRoom(capacityClass{r.Service, r.Rank}, limits{batchShare: 1}) {
+		return result.RoomReserved
+	}
 	for _, m := range c.members {
 		if m.upstream.Service == r.Service && !m.upstream.Leaving {
 			return result.QueueFull
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// minBatchShare and initialBatchShare bound the share of an engine's batch that
-	// requests of the least urgent tier may fill, and are its value at the start.
+	// minBatchShare is the least share of an engine's batch that requests of the least
+	// urgent tier may fill, and initialBatchShare the share before any of them ended.
 	minBatchShare, initialBatchShare = 0.2, 0.2
 	// targetTimeUsed is the fraction of its time that a request should need. The more
 	// requests an engine runs, the more slowly it generates each token; requests that
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -115,7 +115,7 @@
 	case Grant:
 		return e, nil
 	case Refuse:
-		err := result.Errorf(e.Code, "no upstream has room")
+		err := result.Errorf(e.Code, "no upstream has room for this request")
 		err.RetryAfter = e.RetryAfter
 		return Grant{}, err
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -50,6 +50,8 @@
 	urgent, usual, unset := &table.Accounts[0], &table.Accounts[1], &table.Accounts[2]
 	assert.Equal(t, table.RankFor(question, urgent), Rank(0))
 	assert.Equal(t, table.RankFor(question, unset), Rank(0), "without an account's priority the route's counts")
+	assert.Equal(t, table.RankFor(question, nil), table.RankFor(question, unset), "a caller without an account")
+	assert.Equal(t, table.RankFor(draft, nil), table.RankFor(draft, unset), "a caller without an account")
 	assert.Assert(t, table.RankFor(draft, urgent) < table.RankFor(question, usual), "the account's priority goes first")
 	assert.Assert(t, table.RankFor(draft, usual) < table.RankFor(draft, unset), "the route's priority is compared to the account's")
 	assert.Equal(t, table.RankFor(draft, unset), table.LowestRank())
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -61,6 +61,7 @@
 	SidecarEvicted      Code = 3008
 	GrantLapsed         Code = 3009
 	RetryBudget         Code = 3010
+	RoomReserved        Code = 3011
 	NoUpstream          Code = 4001
 	UpstreamLeaving     Code = 4002
 	DataCentreOut       Code = 4003
