--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -275,6 +275,27 @@
 	}
 }
 
+// A request that is refused because engines keep room for more urgent ones has not been
+// sent, and its refusal has a code and a counter of its own.
+func TestRoomIsReservedForMoreUrgentRequests(t *testing.T) {
+	f := newFixture(t, 1, responseText(200, "Signed: 1\r\n", "ok"))
+	table := f.view.Table
+	table.Services[0].Engine = &route.Engine{BatchSize: 5, MemoryTokens: 1_000_000}
+	table.Routes[0].Priority = 2
+	table.Index()
+	f.gateway.ApplyView(f.view)
+	for range 2 {
+		urgent := placement.Request{Service: "desk", Objective: time.Second, Deadline: time.Now().Add(time.Minute)}
+		_, err := f.gateway.Scheduler.Acquire(t.Context(), urgent)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, f.call(t, http.MethodPost, "/book/1", ""), "503 code 3011")
+	assert.Equal(t, f.attempts(), 0)
+	var metrics strings.Builder
+	f.gateway.WriteMetrics(&metrics)
+	assert.Assert(t, strings.Contains(metrics.String(), `jasminewing_direct_refusals_total{code="3011",name="room_reserved"} 1`))
+}
+
 func TestRefusedBeforeFirstAttempt(t *testing.T) {
 	tests := []struct {
 		name, path, body string
