--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -40,6 +40,8 @@
 	started         time.Time
 	waited          time.Duration
 	responseStarted bool
+	// answer describes the upstream's answer; nil until its body is read.
+	answer *answerEnd
 	// inactivityTimer fires when a retryable request should move to another
 	// upstream; nil if the request may not be retried.
 	inactivityTimer *time.Timer
@@ -129,7 +131,7 @@
 func (a *attempt) recordResult(outcome placement.Outcome, detail string) {
 	a.attempts = append(a.attempts, attemptResult{
 		upstream: a.grant.Upstream.ID, outcome: outcome, took: time.Since(a.started),
-		waited: a.waited, expected: a.grant.Expected, detail: detail,
+		waited: a.waited, expected: a.grant.Expected, detail: detail, answer: a.answer,
 	})
 }
 
@@ -226,6 +228,7 @@
 // bufferResponse reads the whole response into memory.
 func (a *attempt) bufferResponse(ctx context.Context) (placement.Outcome, bool, error) {
 	resp := a.exchange.Response
+	a.answer = &answerEnd{framing: upstream.FramingOf(resp), how: endedCut}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
 	switch {
 	case err != nil:
@@ -233,6 +236,7 @@
 	case len(body) > maxResponseSize:
 		return a.endFailed(ctx, placement.Failed, "answer too large", result.AnswerTooLarge)
 	}
+	a.answer.how = endedWhole
 	a.responsePartReceived()
 	a.buffered = &bufferedResponse{resp.StatusCode, resp.Header, body}
 	outcome := placement.Served
@@ -246,6 +250,7 @@
 // forwardStream forwards a stream to the caller in whole events.
 func (a *attempt) forwardStream(ctx context.Context) (placement.Outcome, bool, error) {
 	resp := a.exchange.Response
+	a.answer = &answerEnd{framing: upstream.FramingOf(resp), how: endedCut}
 	e := &eventReader{source: resp.Body, lastEventID: a.lastEventID}
 	resumed := a.headersSent
 	for {
@@ -262,8 +267,13 @@
 			}
 			a.lastEventID, a.events = e.lastEventID, a.events+1
 		}
+		a.answer.unfinished = len(e.pending)
 		switch {
 		case errors.Is(err, io.EOF):
+			a.answer.how = endedWhole
+			if len(e.pending) > 0 {
+				a.answer.how = endedInsideEvent
+			}
 			a.writePart(resp, e.pending)
 			a.recordResult(placement.Served, "")
 			return placement.Served, false, nil
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -35,6 +36,16 @@
 		m.attempts(o)
 		m.retries(o)
 	}
+	for _, f := range upstream.Framings {
+		for _, e := range endings {
+			m.answers(f, e)
+		}
+	}
+}
+
+// answers returns the counter of upstreams' answers by their framing and ending.
+func (m *metricSet) answers(f upstream.Framing, e ending) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_direct_answers_total{framing=%q,end=%q}", f, e))
 }
 
 func (m *metricSet) refusal(code result.Code) *metrics.Counter {
@@ -64,5 +75,8 @@
 	}
 	for _, a := range p.attempts {
 		m.attempts(a.outcome).Inc()
+		if a.answer != nil {
+			m.answers(a.answer.framing, a.answer.how).Inc()
+		}
 	}
 }
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -105,8 +105,8 @@
 }
 
 // attemptsText formats the attempts as upstream:outcome:took:waited:expected,
-// with times in milliseconds, each followed by its detail in parentheses if it
-// has one.
+// with times in milliseconds, then framing:ending:unfinished of the answer if it
+// began, and the detail in parentheses if there is one.
 func (p *proxiedRequest) attemptsText() string {
 	var b strings.Builder
 	for i, a := range p.attempts {
@@ -114,6 +114,9 @@
 			b.WriteByte(' ')
 		}
 		fmt.Fprintf(&b, "%s:%s:%d:%d:%d", a.upstream, a.outcome, a.took.Milliseconds(), a.waited.Milliseconds(), a.expected.Milliseconds())
+		if a.answer != nil {
+			fmt.Fprintf(&b, ":%s:%s:%d", a.answer.framing, a.answer.how, a.answer.unfinished)
+		}
 		if a.detail != "" {
 			fmt.Fprintf(&b, "(%s)", a.detail)
 		}
