Don't complete a stream that ends inside an event

Cause: the gateway took the end of the connection, or the end that the framing announces, for the end of the stream, whatever its text said. The limit on an event's size had the same effect, as it emptied the rest; a stream could even be resumed in the middle of such an event.

The reader now knows at each byte whether it is inside an event or a line, for line ends of all kinds, and a stream that ends there is broken: resumed where the route may, else the caller's connection is closed without the last chunk. A stream that ends with its connection before any event is broken too, since a crash there looks the same. The rest of a broken event is not sent to the caller.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -265,15 +265,16 @@
 				a.recordResult(placement.Left, "write to the caller failed")
 				return placement.Left, false, result.Errorf(result.CallerGone, "write to the caller failed")
 			}
-			a.lastEventID, a.events = e.lastEventID, a.events+1
+			a.lastEventID, a.parts = e.lastEventID, a.parts+1
+			a.eventForwarded = a.eventForwarded || e.returnedEvent
 		}
 		a.answer.unfinished = len(e.pending)
 		switch {
+		case errors.Is(err, io.EOF) && e.brokenOff(a.answer.framing):
+			a.answer.how = endedInsideEvent
+			return a.endFailed(ctx, placement.Broken, "the stream ended inside an event or before any", result.UpstreamCutOff)
 		case errors.Is(err, io.EOF):
 			a.answer.how = endedWhole
-			if len(e.pending) > 0 {
-				a.answer.how = endedInsideEvent
-			}
 			a.writePart(resp, e.pending)
 			a.recordResult(placement.Served, "")
 			return placement.Served, false, nil
--- a/internal/direct/event_reader.go
+++ b/internal/direct/event_reader.go
@@ -5,13 +5,15 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"jasminewing.dev/jasminewing/internal/upstream"
 )
 
 // streamBufferSize is the size in bytes of the buffer for reading a stream.
 const streamBufferSize = 8 << 10
 
 // maxEventSize is the maximum size in bytes of a stream event. A longer event is
-// forwarded in parts, and the stream can't be resumed after it.
+// forwarded in parts, and the stream can't be resumed until a later event has ended.
 const maxEventSize = 256 << 10
 
 // eventReader reads a stream of server-sent events and returns whole events only,
@@ -19,60 +21,67 @@
 // event.
 type eventReader struct {
 	source io.Reader
-	// lastEventID is the ID of the last whole event returned; empty if there is
-	// none.
+	// lastEventID is the last event ID returned; empty if there is none, or if a part
+	// of an event was returned since.
 	lastEventID string
-	buffer      []byte
-	pending     []byte
+	// returnedEvent reports that an event, or a part of one, has been returned.
+	returnedEvent bool
+
+	scanner eventScanner
+	buffer  []byte
+	pending []byte
 }
 
 // next returns the whole events read so far, byte for byte. After an error,
-// pending holds the rest of an incomplete event.
+// pending holds the bytes after the last whole event.
 func (e *eventReader) next() ([]byte, error) {
 	if e.buffer == nil {
 		e.buffer = make([]byte, streamBufferSize)
 	}
 	for {
 		n, err := e.source.Read(e.buffer)
+		end := e.scanner.scan(e.buffer[:n])
+		if end >= 0 {
+			end += len(e.pending)
+		}
 		e.pending = append(e.pending, e.buffer[:n]...)
-		if whole := e.takeWhole(); len(whole) > 0 || err != nil {
+		if whole := e.take(end); len(whole) > 0 || err != nil {
 			return whole, err
 		}
 	}
 }
 
-// takeWhole removes the whole events from pending and returns them.
-func (e *eventReader) takeWhole() []byte {
-	end := lastEventEnd(e.pending)
-	if end == 0 {
+// take removes the bytes before end from pending and returns them. If end is
+// negative, it returns a part of an event that is longer than maxEventSize.
+func (e *eventReader) take(end int) []byte {
+	if end < 0 {
 		if len(e.pending) < maxEventSize {
 			return nil
 		}
-		end = len(e.pending)
+		part := e.pending
+		e.pending, e.lastEventID, e.returnedEvent = nil, "", true
+		return part
 	}
 	whole := e.pending[:end:end]
 	e.pending = append([]byte(nil), e.pending[end:]...)
+	e.returnedEvent = e.returnedEvent || e.scanner.events > 0
 	if _, last, found := eventIDs(whole); found {
 		e.lastEventID = last
 	}
 	return whole
 }
 
-// lastEventEnd returns the offset after the last empty line, which ends an
-// event; zero if there is none.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, mark := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(b, []byte(mark)); i >= 0 {
-			end = max(end, i+len(mark))
-		}
-	}
-	return end
+// brokenOff reports whether a stream that has ended without an error lacks its end.
+// Upstreams end a stream after a whole event. A stream that ends with its connection
+// has at least one event, because nothing else tells its end from that of an upstream
+// that crashed before the first.
+func (e *eventReader) brokenOff(f upstream.Framing) bool {
+	return e.scanner.insideEvent() || f == upstream.FramedByClose && e.scanner.events == 0
 }
 
 // eventIDs returns the first and the last event ID in whole, if there is any.
 func eventIDs(whole []byte) (first, last string, found bool) {
-	for line := range bytes.Lines(whole) {
+	for line := range eventLines(whole) {
 		name, value, isField := bytes.Cut(line, []byte(":"))
 		if !isField || string(name) != "id" {
 			continue
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -55,7 +55,11 @@
 	headersSent bool
 	// lastEventID is the ID of the last event sent to the caller.
 	lastEventID string
-	events      int
+	// eventForwarded reports that an event, or a part of one, has been sent to the
+	// caller.
+	eventForwarded bool
+	// parts is the number of writes of events to the caller.
+	parts int
 	// firstPartAt is when the first part of the response arrived.
 	firstPartAt time.Time
 	// buffered is the last upstream response that can be forwarded.
@@ -310,7 +314,10 @@
 // budget. notRun is true if the last attempt did not run the request.
 func (p *proxiedRequest) mayRetry(notRun bool) bool {
 	c := p.call
-	if !notRun && (c.route.RetryPolicy == route.RetryNever || c.route.RetryPolicy == route.RetryResume && !p.resumable()) {
+	if !notRun && c.route.RetryPolicy == route.RetryNever {
+		return false
+	}
+	if p.headersSent && (c.route.RetryPolicy != route.RetryResume || !p.resumable()) {
 		return false
 	}
 	if p.reachedAttempts() >= max(c.route.MaxAttempts, 1) {
@@ -336,4 +343,4 @@
 
 // resumable reports whether a retry can continue where the caller's response
 // ends.
-func (p *proxiedRequest) resumable() bool { return !p.headersSent || p.lastEventID != "" }
+func (p *proxiedRequest) resumable() bool { return !p.eventForwarded || p.lastEventID != "" }
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -89,7 +89,7 @@
 		}
 	}
 	if !p.firstPartAt.IsZero() {
-		fields = append(fields, "first_ms", p.firstPartAt.Sub(p.receivedAt).Milliseconds(), "events", p.events)
+		fields = append(fields, "first_ms", p.firstPartAt.Sub(p.receivedAt).Milliseconds(), "events", p.parts)
 	}
 	if p.buffered != nil {
 		fields = append(fields, "status", p.buffered.status)
