Don't complete a broken stream because an earlier attempt failed

Callers of a route that may resume and has three attempts or more could get a stream that broke off as complete: attempt 1 answers 500, which is kept as the answer to fall back on; attempt 2 streams and breaks; no upstream is left for attempt 3. placementError then reported success, since a kept answer was there, and finish, which can't send it any more, let the answer end with its last chunk.

TestStreamThatBreaksAfterFailedAttemptIsNotCompletedToCaller failed before: the caller got 200 and the first event, complete. The kept answer now only stands for a response that has not begun, so the request ends with an error and the caller's connection is closed without the last chunk.

--- a/internal/direct/broken_stream_test.go
+++ b/internal/direct/broken_stream_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// Guards against a broken stream that is completed because an earlier attempt left a
+// buffered error response.
+func TestStreamThatBreaksAfterFailedAttemptIsNotCompletedToCaller(t *testing.T) {
+	one := eventText(1)
+	failed := responseText(500, "Signed: 1\r\n", "no")
+	for _, broken := range []string{unframedStream(one + "id: 2"), streamStart(one) + "!"} {
+		f := newFixture(t, 2, failed, broken)
+		assert.Equal(t, f.call(t, http.MethodPost, "/letter/1", "x"), "200 "+one+"!")
+		assert.Equal(t, f.attempts(), 2)
+	}
+}
+
 // Guards against a check that takes whole streams for broken ones.
 func TestWholeStreamsWithoutLengthAreComplete(t *testing.T) {
 	huge := "id: 1\ndata: " + strings.Repeat("x", maxEventSize) + "\n\n"
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -108,6 +108,7 @@
 		{Name: "look", Prefix: "/look/", RetryPolicy: route.RetryFromStart, MaxAttempts: 2},
 		{Name: "draft", Prefix: "/draft/", RetryPolicy: route.RetryNever, Streamed: true, MaxAttempts: 1},
 		{Name: "note", Prefix: "/note/", RetryPolicy: route.RetryResume, Streamed: true, MaxAttempts: 2},
+		{Name: "letter", Prefix: "/letter/", RetryPolicy: route.RetryResume, Streamed: true, MaxAttempts: 4},
 		{Name: "short", Prefix: "/short/", Timeout: 100 * time.Millisecond, MaxAttempts: 1},
 	} {
 		r.Host, r.Objective = "desk.example", 200*time.Millisecond
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -296,7 +296,7 @@
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return result.Errorf(result.CallerGone, "the caller disconnected")
-	case p.buffered != nil:
+	case p.buffered != nil && !p.headersSent:
 		return nil
 	case ctx.Err() != nil && p.mayHaveRun:
 		return result.Errorf(result.UpstreamTimeout, "the request's time is up")
