Forward only events that follow each other, of event streams only

What operators of similar systems report: a stream had begun and broke off, the next upstream answered with an error, and callers found its text, or its whole head, in their stream. Here, an upstream that answered the resumed request with 200 and an error's text put it into the caller's stream (gone since the rest of a broken event is not sent), and still did if the text was followed by a blank line and the next event: only the first ID found anywhere in what was read was compared. So did a resumed answer of another content type, and, inside one stream without a length, the head of a late or repeated answer, or the stream itself once more.

Each event is now compared with the one before it: after a resume, the first event must have the next ID; within a stream, numbers must grow, and an event without an ID must have known fields only. What follows the last good event is not forwarded, and the stream is resumed or closed as broken. Another content type than an event stream is an answer of its own, never the rest of a stream.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -154,10 +154,10 @@
 	switch {
 	case !info.Genuine || impliesNotRun(status):
 		return a.endFailed(ctx, placement.Failed, fmt.Sprintf("answer with status %d cannot be passed on", status), result.UpstreamFailed)
-	case a.call.route.Streamed && status == http.StatusOK:
+	case a.call.route.Streamed && isEventStream(x.Response):
 		return a.forwardStream(ctx)
 	case a.headersSent:
-		return a.endFailed(ctx, placement.Failed, fmt.Sprintf("status %d instead of the rest", status), result.UpstreamFailed)
+		return a.endFailed(ctx, placement.Failed, fmt.Sprintf("status %d or no event stream instead of the rest", status), result.UpstreamFailed)
 	}
 	return a.bufferResponse(ctx)
 }
@@ -251,21 +251,16 @@
 func (a *attempt) forwardStream(ctx context.Context) (placement.Outcome, bool, error) {
 	resp := a.exchange.Response
 	a.answer = &answerEnd{framing: upstream.FramingOf(resp), how: endedCut}
-	e := &eventReader{source: resp.Body, lastEventID: a.lastEventID}
-	resumed := a.headersSent
+	e := &eventReader{source: resp.Body, sequence: eventSequence{lastID: a.lastEventID, continued: a.eventForwarded}}
 	for {
 		whole, err := e.next()
 		if len(whole) > 0 {
 			a.responsePartReceived()
-			if first, _, _ := eventIDs(whole); resumed && !isNextEvent(a.lastEventID, first) {
-				return a.endFailed(ctx, placement.Failed, "the resumed stream does not go on where it ended", result.UpstreamBadStream)
-			}
-			resumed = false
 			if !a.writePart(resp, whole) {
 				a.recordResult(placement.Left, "write to the caller failed")
 				return placement.Left, false, result.Errorf(result.CallerGone, "write to the caller failed")
 			}
-			a.lastEventID, a.parts = e.lastEventID, a.parts+1
+			a.lastEventID, a.parts = e.sequence.lastID, a.parts+1
 			a.eventForwarded = a.eventForwarded || e.returnedEvent
 		}
 		a.answer.unfinished = len(e.pending)
@@ -278,12 +273,21 @@
 			a.writePart(resp, e.pending)
 			a.recordResult(placement.Served, "")
 			return placement.Served, false, nil
+		case sentBadStream(err):
+			return a.endFailed(ctx, placement.Failed, err.Error(), result.UpstreamBadStream)
 		case err != nil:
 			return a.endFailed(ctx, placement.Broken, err.Error(), result.UpstreamCutOff)
 		}
 	}
 }
 
+// sentBadStream reports whether a stream failed because of what the upstream sent, and
+// not because it ended.
+func sentBadStream(err error) bool {
+	var outOfSequence *sequenceError
+	return errors.As(err, &outOfSequence) || errors.Is(err, errLargeFirstEvent)
+}
+
 // writePart writes a part of a stream to the caller and flushes it. It reports
 // whether the write succeeded.
 func (a *attempt) writePart(resp *http.Response, part []byte) bool {
--- a/internal/direct/event_reader.go
+++ b/internal/direct/event_reader.go
@@ -1,10 +1,10 @@
 package direct
 
 import (
-	"bytes"
+	"fmt"
 	"io"
-	"strconv"
-	"strings"
+	"mime"
+	"net/http"
 
 	"jasminewing.dev/jasminewing/internal/upstream"
 )
@@ -21,9 +21,8 @@
 // event.
 type eventReader struct {
 	source io.Reader
-	// lastEventID is the last event ID returned; empty if there is none, or if a part
-	// of an event was returned since.
-	lastEventID string
+	// sequence holds the ID of the last event returned.
+	sequence eventSequence
 	// returnedEvent reports that an event, or a part of one, has been returned.
 	returnedEvent bool
 
@@ -33,7 +32,8 @@
 }
 
 // next returns the whole events read so far, byte for byte. After an error,
-// pending holds the bytes after the last whole event.
+// pending holds the bytes after the last whole event. The error is a *sequenceError
+// if the event after those returned does not follow them.
 func (e *eventReader) next() ([]byte, error) {
 	if e.buffer == nil {
 		e.buffer = make([]byte, streamBufferSize)
@@ -45,32 +45,47 @@
 			end += len(e.pending)
 		}
 		e.pending = append(e.pending, e.buffer[:n]...)
-		if whole := e.take(end); len(whole) > 0 || err != nil {
+		whole, bad := e.take(end)
+		if bad != nil {
+			err = bad
+		}
+		if len(whole) > 0 || err != nil {
 			return whole, err
 		}
 	}
 }
 
-// take removes the bytes before end from pending and returns them. If end is
-// negative, it returns a part of an event that is longer than maxEventSize.
-func (e *eventReader) take(end int) []byte {
+// take removes the bytes before end from pending and returns them, up to the first
+// event that is out of sequence. If end is negative, it returns a part of an event
+// that is longer than maxEventSize.
+func (e *eventReader) take(end int) ([]byte, error) {
 	if end < 0 {
-		if len(e.pending) < maxEventSize {
-			return nil
-		}
-		part := e.pending
-		e.pending, e.lastEventID, e.returnedEvent = nil, "", true
-		return part
+		return e.takePart()
 	}
 	whole := e.pending[:end:end]
 	e.pending = append([]byte(nil), e.pending[end:]...)
 	e.returnedEvent = e.returnedEvent || e.scanner.events > 0
-	if _, last, found := eventIDs(whole); found {
-		e.lastEventID = last
+	n, err := e.sequence.accept(whole)
+	return whole[:n], err
+}
+
+func (e *eventReader) takePart() ([]byte, error) {
+	switch {
+	case len(e.pending) < maxEventSize:
+		return nil, nil
+	case e.sequence.continued:
+		return nil, errLargeFirstEvent
 	}
-	return whole
+	part := e.pending
+	e.pending, e.returnedEvent = nil, true
+	e.sequence.skipPart()
+	return part, nil
 }
 
+// errLargeFirstEvent is returned if a continued stream begins with an event that is
+// forwarded in parts. Its ID can't be checked before it is forwarded.
+var errLargeFirstEvent = fmt.Errorf("the first event is over %d bytes", maxEventSize)
+
 // brokenOff reports whether a stream that has ended without an error lacks its end.
 // Upstreams end a stream after a whole event. A stream that ends with its connection
 // has at least one event, because nothing else tells its end from that of an upstream
@@ -79,28 +94,9 @@
 	return e.scanner.insideEvent() || f == upstream.FramedByClose && e.scanner.events == 0
 }
 
-// eventIDs returns the first and the last event ID in whole, if there is any.
-func eventIDs(whole []byte) (first, last string, found bool) {
-	for line := range eventLines(whole) {
-		name, value, isField := bytes.Cut(line, []byte(":"))
-		if !isField || string(name) != "id" {
-			continue
-		}
-		last = strings.TrimSpace(string(value))
-		if !found {
-			first, found = last, true
-		}
-	}
-	return first, last, found
-}
-
-// isNextEvent reports whether the event ID first directly follows the event ID
-// after. It reports true if after is not a number.
-func isNextEvent(after, first string) bool {
-	a, err := strconv.ParseInt(after, 10, 64)
-	if err != nil {
-		return true
-	}
-	f, err := strconv.ParseInt(first, 10, 64)
-	return err == nil && f == a+1
+// isEventStream reports whether a response is a stream of server-sent events. It is
+// on a streamed route if it does not say otherwise.
+func isEventStream(r *http.Response) bool {
+	t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return r.StatusCode == http.StatusOK && (err != nil || t == "text/event-stream")
 }
--- a/internal/direct/event_scanner.go
+++ b/internal/direct/event_scanner.go
@@ -1,10 +1,5 @@
 package direct
 
-import (
-	"bytes"
-	"iter"
-)
-
 // eventScanner finds the ends of the events in a stream of server-sent events, whose
 // lines end in CR, LF or CRLF. The zero value is at the start of a stream.
 type eventScanner struct {
@@ -76,22 +71,3 @@
 func (s *eventScanner) insideEvent() bool {
 	return s.inEvent || s.lineBegun || s.afterCR && s.blankCR && !s.loneCR
 }
-
-// eventLines returns the lines of b without their line ends.
-func eventLines(b []byte) iter.Seq[[]byte] {
-	return func(yield func([]byte) bool) {
-		for len(b) > 0 {
-			line, rest := b, []byte(nil)
-			if n := bytes.IndexAny(b, "\r\n"); n >= 0 {
-				line, rest = b[:n], b[n+1:]
-				if b[n] == '\r' {
-					rest = bytes.TrimPrefix(rest, []byte("\n"))
-				}
-			}
-			if !yield(line) {
-				return
-			}
-			b = rest
-		}
-	}
-}
--- a/internal/direct/event_scanner_test.go
+++ b/internal/direct/event_scanner_test.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -65,12 +67,19 @@
 	}
 }
 
-func lineStrings(text string) func(yield func(string) bool) {
+// lineStrings returns the lines that eventLines finds, and panics if an offset is not
+// after the line's end.
+func lineStrings(text string) iter.Seq[string] {
 	return func(yield func(string) bool) {
-		for line := range eventLines([]byte(text)) {
+		begin := 0
+		for line, end := range eventLines([]byte(text)) {
+			if strings.TrimRight(text[begin:end], "\r\n") != string(line) {
+				panic(fmt.Sprintf("offset %d after line %q", end, line))
+			}
 			if !yield(string(line)) {
 				return
 			}
+			begin = end
 		}
 	}
 }
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -414,7 +414,7 @@
 				assert.NilError(t, err)
 			}
 			assert.DeepEqual(t, got, tt.want)
-			assert.Equal(t, e.lastEventID, tt.last)
+			assert.Equal(t, e.sequence.lastID, tt.last)
 			assert.Equal(t, string(e.pending), tt.rest)
 		})
 	}
