Believe an answer without an ID only as the first on its connection

Operators of similar systems report that a faulty upstream wrote an earlier refusal once more on a kept connection, so that callers were told 'not run' for requests that ran (REFUSED), or the request ran at a second upstream (TWICE). The same could happen here: Belongs took any failure without an ID for the answer to the request at hand, and only bytes that come before the request is sent keep a connection from being used again.

What makes a refusal without an ID believable is that no other request can have caused it: it is the first answer on its connection. Elsewhere it is skipped like an answer to another request, and the gateway waits for its own, which is the answer that the caller should get. An upstream that has sent an answer without an ID once gets requests that may run only once on unused connections from then on, so that its true refusals are believed without waiting. The price: the first true refusal without an ID on a kept connection leaves a request that may run once without an answer until its time is up.

request_ended says (skipped n), jasminewing_direct_answers_skipped_total counts.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -59,10 +59,12 @@
 	a.exchange = p.gateway.poolOf(g.Upstream).Exchange(ctx, &upstream.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body,
 		Header: p.gateway.Upstreams.Header(c, a.params()),
-		Belongs: func(r *http.Response) bool {
-			return p.gateway.Upstreams.Belongs(c, r)
+		Match: func(r *http.Response) upstream.Match {
+			return p.gateway.Upstreams.Match(c, r)
 		},
+		AtMostOnce: c.route.RetryPolicy == route.RetryNever,
 	})
+	p.gateway.metrics.answersSkipped.Add(a.exchange.Skipped)
 	outcome, again, err := a.handleResponse(ctx)
 	if a.inactivityTimer != nil {
 		a.inactivityTimer.Stop()
@@ -131,7 +133,7 @@
 func (a *attempt) recordResult(outcome placement.Outcome, detail string) {
 	a.attempts = append(a.attempts, attemptResult{
 		upstream: a.grant.Upstream.ID, outcome: outcome, took: time.Since(a.started),
-		waited: a.waited, expected: a.grant.Expected, detail: detail, answer: a.answer,
+		waited: a.waited, expected: a.grant.Expected, detail: detail, answer: a.answer, skipped: a.exchange.Skipped,
 	})
 }
 
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -20,6 +20,7 @@
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -104,7 +105,7 @@
 // responses.
 type UpstreamProtocol interface {
 	Header(c *Call, p AttemptParams) http.Header
-	// Belongs reports whether r is a response to c.
-	Belongs(c *Call, r *http.Response) bool
+	// Match tells whether r is a response to c.
+	Match(c *Call, r *http.Response) upstream.Match
 	ParseResponse(c *Call, r *http.Response) ResponseInfo
 }
--- a/internal/direct/gateway_test.go
+++ b/internal/direct/gateway_test.go
@@ -22,6 +22,7 @@
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -56,8 +57,14 @@
 	return h
 }
 
-func (testProtocol) Belongs(c *Call, r *http.Response) bool {
-	return r.Header.Get("Id") == string(c.ID)
+func (testProtocol) Match(c *Call, r *http.Response) upstream.Match {
+	switch echo := r.Header.Get("Id"); {
+	case echo == string(c.ID):
+		return upstream.MatchThis
+	case echo == "" && r.StatusCode >= http.StatusBadRequest:
+		return upstream.MatchUnidentified
+	}
+	return upstream.MatchOther
 }
 
 func (testProtocol) ParseResponse(_ *Call, r *http.Response) ResponseInfo {
@@ -173,6 +180,12 @@
 	}
 }
 
+// addUpstream adds an upstream that the test serves itself.
+func (f *fixture) addUpstream(id, address string) {
+	f.view.Upstreams = append(f.view.Upstreams, route.Upstream{ID: route.UpstreamID(id), Service: "desk", Address: address, Slots: 6})
+	f.gateway.ApplyView(f.view)
+}
+
 func (f *fixture) attempts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -17,11 +17,15 @@
 type metricSet struct {
 	set         *metrics.Set
 	connections *metrics.Counter
+	// answersSkipped counts answers that can't be shown to belong to the request on
+	// their connection.
+	answersSkipped *metrics.Counter
 }
 
 func (m *metricSet) init(g *Gateway) {
 	m.set = metrics.NewSet()
 	m.connections = m.set.NewCounter("jasminewing_direct_connections_total")
+	m.answersSkipped = m.set.NewCounter("jasminewing_direct_answers_skipped_total")
 	m.set.NewGauge("jasminewing_direct_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("jasminewing_direct_table_revision", func() float64 { return float64(g.Catalog.View().Revision) })
 	m.set.NewGauge("jasminewing_direct_state_behind_seconds", func() float64 { return g.Catalog.Stats().Behind.Seconds() })
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -80,6 +80,9 @@
 	detail           string
 	// answer describes the upstream's answer; nil if none began.
 	answer *answerEnd
+	// skipped is the number of answers that were skipped because they can't be shown to
+	// belong to the request.
+	skipped int
 }
 
 // answerEnd describes how an upstream's answer was framed and how it ended.
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -117,6 +117,9 @@
 		if a.answer != nil {
 			fmt.Fprintf(&b, ":%s:%s:%d", a.answer.framing, a.answer.how, a.answer.unfinished)
 		}
+		if a.skipped > 0 {
+			fmt.Fprintf(&b, "(skipped %d)", a.skipped)
+		}
 		if a.detail != "" {
 			fmt.Fprintf(&b, "(%s)", a.detail)
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,11 +20,29 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Belongs reports whether a response belongs to this request; if nil, every
-	// response does. A late response to an earlier request is skipped.
-	Belongs func(*http.Response) bool
+	// Match tells whether a response belongs to this request; if nil, every response
+	// does. Responses that don't belong to it are skipped.
+	Match func(*http.Response) Match
+	// AtMostOnce reports that the request may not run twice, so that it matters
+	// whether a refusal can be believed.
+	AtMostOnce bool
 }
 
+// Match is the relation of a response to a request.
+type Match int
+
+// The relations of a response to a request.
+const (
+	// MatchOther is a response to another request.
+	MatchOther Match = iota
+	// MatchUnidentified is a response that does not say to which request it belongs. It
+	// belongs to this one only if it is the first response on its connection: a faulty
+	// upstream may write an earlier response again on a connection that is in use.
+	MatchUnidentified
+	// MatchThis is a response that names this request.
+	MatchThis
+)
+
 // Exchange is a request and its response.
 type Exchange struct {
 	// Response is nil if Err is set. The response is complete if its body can be
@@ -35,6 +53,9 @@
 	Sent bool
 	// Reused reports that the connection had been used before.
 	Reused bool
+	// Skipped is the number of responses that were skipped because they don't belong to
+	// the request, or can't be shown to.
+	Skipped int
 
 	pool         *Pool
 	conn         *conn
@@ -46,8 +67,7 @@
 // errUnrelatedResponse is returned if only responses to other requests arrived.
 var errUnrelatedResponse = errors.New("the answer belongs to another request")
 
-// maxUnrelatedResponses is the maximum number of late responses skipped in an
-// exchange.
+// maxUnrelatedResponses is the maximum number of responses skipped in an exchange.
 const maxUnrelatedResponses = 2
 
 // Exchange sends a request and waits for the response headers. When ctx is done,
@@ -55,7 +75,7 @@
 // close the exchange.
 func (p *Pool) Exchange(ctx context.Context, r *Request) *Exchange {
 	x := &Exchange{pool: p}
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, r.AtMostOnce && p.unidentified.Load())
 	if err != nil {
 		x.Err = err
 		return x
@@ -63,21 +83,45 @@
 	x.conn, x.Reused = c, c.used
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.send(r)
-	for range maxUnrelatedResponses + 1 {
+	for {
 		if x.Response, x.Err = readHead(c, r.Method); x.Err != nil {
 			return x
 		}
-		if r.Belongs == nil || r.Belongs(x.Response) {
+		if x.belongs(r) {
 			x.Response.Body = &trackedBody{ReadCloser: x.Response.Body, x: x}
 			return x
 		}
-		if _, x.Err = io.Copy(io.Discard, x.Response.Body); x.Err != nil {
-			break
+		if x.Err = x.skip(); x.Err != nil {
+			x.Response = nil
+			return x
 		}
 	}
-	x.Response = nil
-	x.Err = errors.Join(errUnrelatedResponse, x.Err)
-	return x
+}
+
+// belongs reports whether the response belongs to the request.
+func (x *Exchange) belongs(r *Request) bool {
+	if r.Match == nil {
+		return true
+	}
+	switch r.Match(x.Response) {
+	case MatchThis:
+		return true
+	case MatchUnidentified:
+		x.pool.unidentified.Store(true)
+		return !x.Reused && x.Skipped == 0
+	}
+	return false
+}
+
+// skip reads the body of a response that does not belong to the request.
+func (x *Exchange) skip() error {
+	if x.Skipped++; x.Skipped > maxUnrelatedResponses {
+		return errUnrelatedResponse
+	}
+	if _, err := io.Copy(io.Discard, x.Response.Body); err != nil {
+		return errors.Join(errUnrelatedResponse, err)
+	}
+	return nil
 }
 
 // send writes the request. It writes a long request in the background, because
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -56,7 +56,15 @@
 func post(ctx context.Context, p *Pool) *Exchange {
 	return p.Exchange(ctx, &Request{
 		Method: "POST", Target: "/a/b?c=d", Host: "maps.example", Body: []byte("x"),
-		Belongs: func(r *http.Response) bool { return r.Header.Get("X-Id") == "1" },
+		Match: func(r *http.Response) Match {
+			switch r.Header.Get("X-Id") {
+			case "1":
+				return MatchThis
+			case "":
+				return MatchUnidentified
+			}
+			return MatchOther
+		},
 	})
 }
 
@@ -203,3 +211,23 @@
 	assert.Assert(t, <-written != nil, "the connection is still open")
 	assert.Equal(t, len(p.idle), 0, "a connection with a partly written request is in the pool")
 }
+
+// A response without an ID is believed where no other request can have caused it: as
+// the first one on its connection. Requests that may run once then go to this upstream
+// on unused connections, so that its refusals stay believable.
+func TestResponseWithoutIDIsBelievedOnNewConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+	address, _ := serve(t, []string{okResponse, refusal + okResponse, okResponse}, []string{refusal}, []string{okResponse})
+	p := &Pool{Address: address}
+	defer p.Close()
+	mustExchange(t, p)
+	x := mustExchange(t, p)
+	assert.Assert(t, x.Reused && x.Skipped == 1 && x.Response.StatusCode == http.StatusOK)
+
+	once := &Request{Method: "POST", Target: "/a", AtMostOnce: true, Match: func(*http.Response) Match { return MatchUnidentified }}
+	x = p.Exchange(t.Context(), once)
+	assert.NilError(t, x.Err)
+	assert.Assert(t, !x.Reused && x.Response.StatusCode == http.StatusServiceUnavailable)
+	x.Cancel()
+	assert.Assert(t, mustExchange(t, p).Reused, "requests that may run again use kept connections")
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,10 @@
 // request may be retried. A connection is reused only if the previous response
 // was complete, no unread data is left on it and the upstream has not closed it.
 //
+// A response that does not say to which request it belongs is believed only as the
+// first one on its connection. An upstream that sends such responses gets requests
+// that may run once on unused connections, so that its refusals stay believable.
+//
 // # Usage
 //
 //	p := &upstream.Pool{Address: "10.1.0.3:8080"}
@@ -22,6 +26,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,6 +65,10 @@
 	// lastFailure is when a connection last failed. Connections opened before it
 	// may have failed too and are not reused.
 	lastFailure time.Time
+
+	// unidentified reports that the upstream has sent a response that does not say to
+	// which request it belongs.
+	unidentified atomic.Bool
 }
 
 // conn is a connection, owned by at most one exchange at a time.
@@ -83,8 +92,12 @@
 	p.idle = nil
 }
 
-// get returns a usable idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns a usable idle connection or opens a new one. If unused is set, the
+// connection has not been used before.
+func (p *Pool) get(ctx context.Context, unused bool) (*conn, error) {
+	if unused {
+		return p.connect(ctx)
+	}
 	for {
 		c := p.popIdle()
 		if c == nil {
