Limit the heads and the skipped answers that an upstream may send

Found on the way: a head without end, interim answers without end, and a late answer whose body does not end were read until the caller's time was up, the former into memory. TestEndlessHeadIsCutOff failed in 7 of 8 cases before. A head has 64 KB now, a final answer comes after 8 interim ones, and 1 MB of a skipped answer is read; a change of protocol, which is never asked for, is an error.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -64,11 +65,26 @@
 	bodyComplete bool
 }
 
-// errUnrelatedResponse is returned if only responses to other requests arrived.
-var errUnrelatedResponse = errors.New("the answer belongs to another request")
+var (
+	// errUnrelatedResponse is returned if only responses to other requests arrived.
+	errUnrelatedResponse = errors.New("the answer belongs to another request")
+	// errHeadTooLarge is returned if a response head does not end in time.
+	errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHeadSize)
+	// errInformational is returned for interim responses that don't end, and for a
+	// change of the protocol.
+	errInformational = errors.New("too many interim answers, or a change of protocol")
+)
 
-// maxUnrelatedResponses is the maximum number of responses skipped in an exchange.
-const maxUnrelatedResponses = 2
+const (
+	// maxUnrelatedResponses is the maximum number of responses skipped in an exchange.
+	maxUnrelatedResponses = 2
+	// maxInterimResponses is the maximum number of 1xx responses before a final one.
+	maxInterimResponses = 8
+	// maxHeadSize is the maximum size in bytes of a response head.
+	maxHeadSize = 64 << 10
+	// maxSkippedSize is the maximum size in bytes of the body of a skipped response.
+	maxSkippedSize = 1 << 20
+)
 
 // Exchange sends a request and waits for the response headers. When ctx is done,
 // the connection is closed, which tells the upstream to stop. The caller must
@@ -118,7 +134,8 @@
 	if x.Skipped++; x.Skipped > maxUnrelatedResponses {
 		return errUnrelatedResponse
 	}
-	if _, err := io.Copy(io.Discard, x.Response.Body); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxSkippedSize+1))
+	if err != nil || n > maxSkippedSize {
 		return errors.Join(errUnrelatedResponse, err)
 	}
 	return nil
@@ -154,16 +171,23 @@
 	return b.Bytes()
 }
 
+// readHead reads the head of the next final response.
 func readHead(c *conn, method string) (*http.Response, error) {
-	for {
+	for range maxInterimResponses + 1 {
+		c.limited.left = maxHeadSize
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.limited.left = math.MaxInt64
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
 	}
+	return nil, errInformational
 }
 
 // trackedBody is a response body that records whether it was read to the end.
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,3 +232,53 @@
 	x.Cancel()
 	assert.Assert(t, mustExchange(t, p).Reused, "requests that may run again use kept connections")
 }
+
+// An upstream that sends a head or interim responses without end is cut off.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"one header", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: " + strings.Repeat("x", maxHeadSize)},
+		{"many headers", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + strings.Repeat("X: y\r\n", maxHeadSize/6)},
+		{"status line", "HTTP/1.1 200 " + strings.Repeat("x", maxHeadSize)},
+		{"no line end", strings.Repeat("x", maxHeadSize+1)},
+		{"interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInterimResponses+1)},
+		{"another protocol", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n"},
+		{"skipped responses", strings.Repeat("HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n", maxUnrelatedResponses+1)},
+		{"skipped body", "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n" + strings.Repeat("x", maxSkippedSize+1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			far, near := net.Pipe()
+			defer far.Close()
+			p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+					_, _ = io.WriteString(far, tt.text)
+				}
+				// The connection stays open, so only a limit ends the exchange.
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			x := post(ctx, p)
+			defer x.Close()
+			assert.Assert(t, x.Err != nil)
+			assert.NilError(t, ctx.Err(), "cut off by its time only")
+		})
+	}
+}
+
+// A head that is cut at any byte, or lacks any of its lines, is no complete response.
+func TestResponseCutInItsHeadIsNotComplete(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n"
+	for n := range len(head) + 2 {
+		address, _ := serve(t, []string{(head + "ok")[:n]})
+		p := &Pool{Address: address}
+		x := post(t.Context(), p)
+		err := x.Err
+		if err == nil {
+			_, err = io.ReadAll(x.Response.Body)
+		}
+		assert.Assert(t, err != nil, "%q", (head + "ok")[:n])
+		x.Close()
+		p.Close()
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -74,12 +75,29 @@
 // conn is a connection, owned by at most one exchange at a time.
 type conn struct {
 	net.Conn
+	limited   *limitedReader
 	reader    *bufio.Reader
 	opened    time.Time
 	idleUntil time.Time
 	used      bool
 }
 
+// limitedReader reads at most left bytes. Unlike io.LimitedReader it fails after them.
+type limitedReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read reads from the source, up to the limit.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // Close closes the idle connections. Connections in use are closed when their
 // exchange ends.
 func (p *Pool) Close() {
@@ -136,7 +154,8 @@
 	if p.OnConnect != nil {
 		p.OnConnect()
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), opened: time.Now()}, nil
+	l := &limitedReader{source: c}
+	return &conn{Conn: c, limited: l, reader: bufio.NewReaderSize(l, readBufferSize), opened: time.Now()}, nil
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
