Refuse a configuration value that may be cut

A value of the configuration service whose response has neither a length nor chunks was taken as whole wherever the connection ended, so a service that crashed while it sent the table could have put a table in force that lacks its last rows. Watches and the VM list are JSON, where a cut is an error.

TestBadResponses, case 'cut off without a length', failed before: the half value was returned without an error. Such a response is refused now and read again, like every failed read.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return fleet.Value{}, err
 	}
+	if !resp.endMarked {
+		return fleet.Value{}, result.Errorf(result.ConfigUnreached, "read value %s: the response has neither a length nor chunks and may be cut", name)
+	}
 	n, err := parseUint("header Revision", resp.header.Get("Revision"))
 	if err != nil {
 		return fleet.Value{}, result.Errorf(result.ConfigUnreached, "read value %s: %w", name, err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/transfer"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -63,6 +64,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// endMarked reports that the response marks its own end. Otherwise the body may have
+	// been cut where the connection ended.
+	endMarked bool
 }
 
 func (c *Client) init() {
@@ -104,7 +108,9 @@
 	if len(b) > MaxResponseBytes {
 		return response{}, result.Errorf(result.TableTooLarge, "read %s: response is larger than %d bytes", path, MaxResponseBytes)
 	}
-	return checkStatus(path, response{resp.StatusCode, resp.Header, b}, want)
+	// A compressed body has an end mark of its own.
+	endMarked := resp.Uncompressed || upstream.FramingOf(resp) != upstream.FramedByClose
+	return checkStatus(path, response{resp.StatusCode, resp.Header, b, endMarked}, want)
 }
 
 func checkStatus(path string, r response, want []int) (response, error) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -87,6 +87,13 @@
 			w.Header().Set("Content-Length", "10")
 			fmt.Fprint(w, "half")
 		}, result.ConfigUnreached},
+		// The rows after the cut would be missing from the table.
+		{"cut off without a length", func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			assert.NilError(t, err)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nRevision: 5\r\n\r\nhalf")
+			_ = c.Close()
+		}, result.ConfigUnreached},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
