Reset the connection of a broken stream for callers without chunks

TestBrokenStreamIsResetForHTTP10 failed before: the caller read to the end without an error. The connection is reset now. Callers of HTTP/1.1 see the missing last chunk, as before.

--- a/internal/direct/broken_stream_test.go
+++ b/internal/direct/broken_stream_test.go
@@ -1,8 +1,12 @@
 package direct
 
 import (
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -78,6 +82,31 @@
 	}
 }
 
+// Guards against a broken stream that looks complete to a caller without support for
+// chunks, whose responses end with the connection.
+func TestBrokenStreamIsResetForHTTP10(t *testing.T) {
+	one := eventText(1)
+	tests := []struct {
+		name, script string
+		wantReset    bool
+	}{
+		{"broken", unframedStream(one + "id: 2"), true},
+		{"whole", unframedStream(one), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, tt.script)
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.address, "http://"))
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, "POST /draft/1 HTTP/1.0\r\nHost: desk.example\r\nId: 7\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+			assert.NilError(t, err)
+			_, err = io.ReadAll(c)
+			assert.Equal(t, errors.Is(err, syscall.ECONNRESET), tt.wantReset, "%v", err)
+		})
+	}
+}
+
 // Guards against a check that takes whole streams for broken ones.
 func TestWholeStreamsWithoutLengthAreComplete(t *testing.T) {
 	huge := "id: 1\ndata: " + strings.Repeat("x", maxEventSize) + "\n\n"
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -133,7 +133,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	p := &proxiedRequest{gateway: g, w: w, receivedAt: time.Now()}
+	p := &proxiedRequest{gateway: g, w: w, chunksSupported: r.ProtoAtLeast(1, 1), receivedAt: time.Now()}
 	p.serve(r)
 }
 
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -47,6 +47,8 @@
 	w          http.ResponseWriter
 	call       *Call
 	receivedAt time.Time
+	// chunksSupported reports that the caller reads chunked responses.
+	chunksSupported bool
 
 	attempts []attemptResult
 	// mayHaveRun reports that an upstream may have run the request.
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,7 +36,7 @@
 		panic(http.ErrAbortHandler)
 	case err != nil && p.headersSent:
 		// An incomplete stream must not look complete to the caller.
-		panic(http.ErrAbortHandler)
+		p.abort()
 	case err != nil && p.buffered == nil:
 		p.writeError(err)
 	case p.buffered != nil && !p.headersSent:
@@ -43,6 +44,21 @@
 	}
 }
 
+// abort ends an incomplete response without its last chunk. To callers that don't
+// support chunks, the end of the connection is the end of the response, so that only
+// a reset shows that it is incomplete.
+func (p *proxiedRequest) abort() {
+	if !p.chunksSupported {
+		if c, _, err := http.NewResponseController(p.w).Hijack(); err == nil {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (p *proxiedRequest) writeBuffered() {
 	h := p.w.Header()
 	maps.Copy(h, ForwardedHeaders(p.buffered.header))
