--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -36,7 +36,6 @@
 	if isStream(resp) {
 		p = &streamParser{ignoreUsage: k.request.ResumeOffset > 0}
 	}
-	k.endsWithConnection = upstream.FramingOf(resp) == upstream.FramedByClose
 	k.copyBody(ctx, resp.Body, p)
 	k.out.Tokens = p.tokens()
 	k.out.FirstToken, k.out.TokenGap = p.timings(k.start)
@@ -54,8 +53,7 @@
 		return result.UpstreamFailed, fmt.Sprintf("upstream answered %d", status)
 	case status < 200:
 		return result.UpstreamBadStream, fmt.Sprintf("upstream answered %d", status)
-	case k.request.Method != http.MethodHead && upstream.FramingOf(resp) == upstream.FramedByClose && !isStream(resp):
-		// A stream has an end mark of its own.
+	case k.request.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return result.UpstreamCutOff, "the answer has neither a length nor an end mark"
 	case resp.ContentLength > k.client.maxAnswer():
 		return result.AnswerTooLarge, fmt.Sprintf("the answer has %d bytes", resp.ContentLength)
@@ -104,7 +102,7 @@
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			k.finishBody(ctx, p)
+			k.finishBody(p)
 			return
 		}
 		if err != nil {
@@ -120,12 +118,8 @@
 	return k.forward(data, p.countedTokens()-before, bad)
 }
 
-func (k *call) finishBody(ctx context.Context, p bodyParser) {
+func (k *call) finishBody(p bodyParser) {
 	data, bad := p.finish()
-	if bad != nil && k.endsWithConnection {
-		k.failWithError(ctx, bad)
-		return
-	}
 	if k.forward(data, 0, bad) {
 		k.out.Complete = true
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -137,9 +137,6 @@
 	timeout      time.Duration
 	out          Outcome
 
-	// endsWithConnection reports that the answer has neither a length nor chunks.
-	endsWithConnection bool
-
 	conn             atomic.Pointer[watchedConn]
 	reused, answered atomic.Bool
 }
