--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/availability"
+	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/upstream"
@@ -62,6 +64,7 @@
 		Match: func(r *http.Response) upstream.Match {
 			return p.gateway.Upstreams.Match(c, r)
 		},
+		Valid:      func() bool { return p.gateway.Scheduler.Valid(g.Ticket) },
 		AtMostOnce: c.route.RetryPolicy == route.RetryNever,
 	})
 	p.gateway.metrics.answersSkipped.Add(a.exchange.Skipped)
@@ -145,6 +148,7 @@
 		return a.handleConnectionError(ctx, x.Err)
 	}
 	info := a.gateway.Upstreams.ParseResponse(a.call, x.Response)
+	a.recordStatement(info)
 	status := x.Response.StatusCode
 	switch {
 	case info.Misdirected:
@@ -164,6 +168,21 @@
 	return a.bufferResponse(ctx)
 }
 
+// recordStatement records what the upstream says of itself. An answer of another
+// upstream at the same address says nothing of the one that was asked.
+func (a *attempt) recordStatement(info ResponseInfo) {
+	u := a.grant.Upstream
+	if info.Misdirected {
+		return
+	}
+	if info.BadPause != "" {
+		a.gateway.Log.WriteThrottled(event.PauseIgnored, string(u.ID), "upstream", u.ID, "value", info.BadPause, "request_id", a.call.ID)
+	}
+	if info.Statement != (availability.Statement{}) {
+		a.gateway.Scheduler.Tell(placement.Stated{Incarnation: u.Incarnation(), Statement: info.Statement, RequestID: string(a.call.ID)})
+	}
+}
+
 // impliesNotRun reports whether callers take a status as a promise that the
 // request did not run.
 func impliesNotRun(status int) bool {
@@ -177,6 +196,9 @@
 // handleConnectionError ends an attempt whose connection failed. Unless bytes
 // may have been sent, the request did not run.
 func (a *attempt) handleConnectionError(ctx context.Context, cause error) (placement.Outcome, bool, error) {
+	if errors.Is(cause, upstream.ErrWithdrawn) && ctx.Err() == nil {
+		return a.endNotRun(placement.Withdrawn, result.NoUpstream)
+	}
 	if !a.exchange.Sent && ctx.Err() == nil {
 		return a.endNotRun(placement.Unreached, result.UpstreamUnreached)
 	}
@@ -187,14 +209,15 @@
 // endNotRun ends an attempt in which the request did not run.
 func (a *attempt) endNotRun(outcome placement.Outcome, code result.Code) (placement.Outcome, bool, error) {
 	a.recordResult(outcome, "")
-	if outcome == placement.Unreached && len(a.attempts) < maxUnreachedAttempts || a.mayRetry(true) {
+	unsent := outcome == placement.Unreached || outcome == placement.Withdrawn
+	if unsent && len(a.attempts) < maxUnreachedAttempts || a.mayRetry(true) {
 		return outcome, true, nil
 	}
 	if a.mayHaveRun {
 		return outcome, false, result.Errorf(result.OutcomeUnknown, "an earlier send may have run")
 	}
 	e := result.Errorf(code, "%s", outcome)
-	e.RetryAfter = refusedRetryAfter(time.Until(a.call.deadline))
+	e.RetryAfter = max(refusedRetryAfter(time.Until(a.call.deadline)), a.gateway.Scheduler.RetryAfterPause(a.call.service))
 	return outcome, false, e
 }
 
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/availability"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/suspect"
@@ -96,6 +97,11 @@
 	NotRun bool
 	// Misdirected reports that the address now belongs to another upstream.
 	Misdirected bool
+	// Statement is what the upstream says of itself.
+	Statement availability.Statement
+	// BadPause is the value with which the upstream asks for a pause, if that is no
+	// number of seconds.
+	BadPause string
 	// Genuine reports that the response comes from the upstream itself and is
 	// unmodified.
 	Genuine bool
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -54,19 +54,12 @@
 	loggedView *route.View
 
 	mu    sync.Mutex
-	pools map[poolKey]*upstream.Pool
-}
-
-// poolKey identifies one incarnation of an upstream.
-type poolKey struct {
-	id              route.UpstreamID
-	address         string
-	startedAtMillis int64
+	pools map[route.Incarnation]*upstream.Pool
 }
 
 // Init prepares the gateway for use.
 func (g *Gateway) Init() {
-	g.pools = make(map[poolKey]*upstream.Pool)
+	g.pools = make(map[route.Incarnation]*upstream.Pool)
 	g.loggedView = &route.View{}
 	g.metrics.init(g)
 }
@@ -97,9 +90,9 @@
 	g.Scheduler.Tell(placement.ViewUpdate{View: v})
 	g.logViewChanges(g.loggedView, v)
 	g.loggedView = v
-	present := make(map[poolKey]bool, len(v.Upstreams))
+	present := make(map[route.Incarnation]bool, len(v.Upstreams))
 	for _, u := range v.Upstreams {
-		present[keyOf(u)] = true
+		present[u.Incarnation()] = true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -111,13 +104,11 @@
 	}
 }
 
-func keyOf(u route.Upstream) poolKey { return poolKey{u.ID, u.Address, u.StartedAtMillis} }
-
 // poolOf returns the connection pool of an upstream, creating it if needed.
 func (g *Gateway) poolOf(u route.Upstream) *upstream.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	k := keyOf(u)
+	k := u.Incarnation()
 	p := g.pools[k]
 	if p == nil {
 		p = &upstream.Pool{Address: u.Address, OnConnect: g.metrics.connections.Inc}
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -339,7 +339,7 @@
 func (p *proxiedRequest) reachedAttempts() int {
 	n := 0
 	for _, a := range p.attempts {
-		if a.outcome != placement.Unreached {
+		if a.outcome != placement.Unreached && a.outcome != placement.Withdrawn {
 			n++
 		}
 	}
--- a/internal/direct/view_log.go
+++ b/internal/direct/view_log.go
@@ -33,7 +33,7 @@
 }
 
 func (g *Gateway) logUpstreamChanges(was, is route.Upstream, known bool, revision int64) {
-	isNew := !known || keyOf(was) != keyOf(is)
+	isNew := !known || was.Incarnation() != is.Incarnation()
 	if isNew {
 		g.Log.Write(event.UpstreamListed, "upstream", is.ID, "service", is.Service, "address", is.Address,
 			"data_centre", is.DataCentre, "born_ms", is.StartedAtMillis, "revision", revision)
--- a/internal/event/entries.go
+++ b/internal/event/entries.go
@@ -41,6 +41,8 @@
 	{UpstreamListed, "upstream_listed", Info, "upstream published", "none"},
 	{UpstreamRemoved, "upstream_removed", Info, "upstream no longer published; it gets no new requests", "none"},
 	{UpstreamAvoided, "upstream_avoided", Warn, "upstream failed; it gets no requests during a backoff", "check the upstream if it persists"},
+	{UpstreamPaused, "upstream_paused", Info, "upstream asked for a pause; it gets no requests meanwhile", "none; add upstreams if many ask for pauses"},
+	{PauseIgnored, "pause_ignored", Warn, "upstream asked for a pause that is no number of seconds", "correct the Retry-After header of the upstream"},
 	{RequestFailed, "request_failed", Warn, "request failed", "none for a single event; see the counters by code"},
 	{RequestSuspect, "request_suspect", Error, "request suspected of crashing upstreams", "ask the owner of the client account what it sends"},
 	{AnswerCutOff, "answer_cut_off", Warn, "response ended before it was complete", "none for a single event; check the upstream that is named"},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,8 @@
 	UpstreamListed  Number = 310
 	UpstreamRemoved Number = 311
 	UpstreamAvoided Number = 312
+	UpstreamPaused  Number = 313
+	PauseIgnored    Number = 314
 	RequestFailed   Number = 401
 	RequestSuspect  Number = 402
 	AnswerCutOff    Number = 403
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -45,6 +45,9 @@
 	Cold ColdBounds
 
 	members map[route.UpstreamID]*member
+	// stated holds what upstreams have said of themselves. It outlasts their entries,
+	// which may lapse and come back.
+	stated  map[route.Incarnation]*statedState
 	waiting []*waitingRequest
 	// lastScheduled is when the waiting requests were last considered.
 	lastScheduled time.Time
@@ -101,6 +104,8 @@
 		c.markStarted(now, m.Ticket)
 	case Done:
 		out = c.finish(now, m.Ticket, m.Outcome)
+	case Stated:
+		out = c.recordStatement(now, m)
 	case Cancelled:
 		c.waiting = slices.DeleteFunc(c.waiting, func(w *waitingRequest) bool { return w.ticket == m.Ticket })
 	case PeerLoads:
@@ -142,6 +147,7 @@
 		c.peerReports = make(map[string]peerReport)
 		c.peerLoads = make(map[LoadKey]Load)
 		c.tiers = make(map[route.ServiceName]*tiers)
+		c.stated = make(map[route.Incarnation]*statedState)
 	}
 }
 
@@ -153,7 +159,7 @@
 		present[u.ID] = true
 		known := c.members[u.ID]
 		if known == nil || known.upstream.StartedAtMillis != u.StartedAtMillis || known.upstream.Address != u.Address {
-			known = &member{cache: newPrefixCache(), key: LoadKeyOf(u.ID), hash: xxhash.Sum64String(string(u.ID))}
+			known = &member{stated: c.statedBy(now, u.Incarnation()), cache: newPrefixCache(), key: LoadKeyOf(u.ID), hash: xxhash.Sum64String(string(u.ID))}
 			c.members[u.ID] = known
 		}
 		known.update(now, u, v)
@@ -163,6 +169,7 @@
 			delete(c.members, id)
 		}
 	}
+	c.forgetStatements(now)
 	c.reserveShortEngines()
 }
 
@@ -175,6 +182,7 @@
 	a.started = true
 	a.member.waitingTokens -= a.prefillTokens
 	delete(a.member.unanswered, t)
+	a.member.stated.Answered(now)
 	a.member.recordLatency(now.Sub(a.sent), a.expected)
 }
 
@@ -184,7 +192,12 @@
 	if a == nil {
 		return nil
 	}
-	c.markStarted(now, t)
+	if o == Withdrawn {
+		a.member.waitingTokens -= a.prefillTokens
+		delete(a.member.unanswered, t)
+	} else {
+		c.markStarted(now, t)
+	}
 	delete(c.assignments, t)
 	c.observePace(now, a, o)
 	m := a.member
@@ -246,6 +259,9 @@
 		full[class] = !c.hasRoom(class, l)
 	}
 	maxWait := time.Duration(maxWaitFraction * float64(r.Objective))
+	if pause := c.pauseLeft(now, r.Service); pause > 0 && now.Add(pause).After(earlier(w.since.Add(maxWait), r.Deadline.Add(-minTimeLeft))) {
+		return Refuse{w.ticket, result.UpstreamsPaused, pause + c.returnSpread()}
+	}
 	if now.Sub(w.since) >= maxWait || r.Deadline.Sub(now) < minTimeLeft {
 		return Refuse{w.ticket, c.refusalCode(r), RetryAfter(r.Deadline.Sub(now), c.nextRandom())}
 	}
@@ -259,7 +275,7 @@
 		return result.RoomReserved
 	}
 	for _, m := range c.members {
-		if m.upstream.Service == r.Service && !m.upstream.Leaving {
+		if m.upstream.Service == r.Service && !m.leaving() {
 			return result.QueueFull
 		}
 	}
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/availability"
 	"jasminewing.dev/jasminewing/internal/route"
 )
 
@@ -54,6 +55,9 @@
 	consecutiveFailures int
 	avoidedUntil        time.Time
 
+	// stated is what the upstream has said of itself.
+	stated *availability.State
+
 	coldUntil time.Time
 	// lastColdTurn is the number of the turn in which this gateway last sent to the
 	// upstream while the upstream was cold.
@@ -108,7 +112,7 @@
 func (m *member) recordOutcome(now time.Time, o Outcome) time.Duration {
 	var backoff time.Duration
 	switch o {
-	case Left:
+	case Left, Withdrawn:
 		return 0
 	case Served:
 		m.consecutiveFailures = 0
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -24,6 +24,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jasminewing.dev/jasminewing/internal/availability"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -82,6 +83,14 @@
 // Cancelled removes a waiting request from the queue.
 type Cancelled struct{ Ticket Ticket }
 
+// Stated reports what an upstream has said of itself in an answer.
+type Stated struct {
+	Incarnation route.Incarnation
+	Statement   availability.Statement
+	// RequestID is the caller's ID of the request that was answered.
+	RequestID string
+}
+
 // PeerLoads reports the load that another gateway has in flight per upstream.
 type PeerLoads struct {
 	Gateway string
@@ -111,6 +120,7 @@
 func (ResponseStarted) message() {}
 func (Done) message()            {}
 func (Cancelled) message()       {}
+func (Stated) message()          {}
 func (PeerLoads) message()       {}
 func (Membership) message()      {}
 func (Ticked) message()          {}
@@ -134,11 +144,14 @@
 	Misdirected
 	// Silent means that no response arrived in time.
 	Silent
+	// Withdrawn means that nothing was sent, because the upstream became unavailable
+	// after it was granted.
+	Withdrawn
 	// Left means that the caller disconnected.
 	Left
 )
 
-var outcomeNames = [...]string{"served", "failed", "broken", "unreached", "full", "misdirected", "silent", "left"}
+var outcomeNames = [...]string{"served", "failed", "broken", "unreached", "full", "misdirected", "silent", "withdrawn", "left"}
 
 // String returns the outcome's name in snake case.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -189,6 +202,22 @@
 	Outcome  Outcome
 }
 
+// Leaves reports that an upstream has said that it leaves.
+type Leaves struct {
+	Upstream  route.UpstreamID
+	RequestID string
+}
+
+// Paused reports that an upstream has asked for a pause.
+type Paused struct {
+	Upstream route.UpstreamID
+	For      time.Duration
+	// RequestID is the caller's ID of the request that was answered.
+	RequestID string
+}
+
+func (Leaves) effect()  {}
+func (Paused) effect()  {}
 func (Grant) effect()   {}
 func (Refuse) effect()  {}
 func (Avoided) effect() {}
--- a/internal/placement/preference.go
+++ b/internal/placement/preference.go
@@ -85,7 +85,7 @@
 
 // canServeFetches reports whether other engines may fetch from the engine.
 func (m *member) canServeFetches(now time.Time, s route.ServiceName) bool {
-	return m.eligible(s) && !now.Before(m.avoidedUntil) && m.overdue(now) <= 0
+	return m.eligible(s) && !m.resting(now) && m.overdue(now) <= 0
 }
 
 // rankEngines sets the first and second choice for a prompt by rendezvous hashing.
@@ -95,7 +95,7 @@
 	var firstHash, secondHash uint64
 	for _, m := range c.members {
 		id := m.upstream.ID
-		if !m.eligible(r.Service) || now.Before(m.avoidedUntil) || now.Before(m.coldUntil) || m.reservedForShort != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
+		if !m.eligible(r.Service) || m.resting(now) || now.Before(m.coldUntil) || m.reservedForShort != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
 			continue
 		}
 		switch h := rendezvousHash(part, m.hash); {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -59,6 +59,10 @@
 			sched.deliver(e.Ticket, e)
 		case Refuse:
 			sched.deliver(e.Ticket, e)
+		case Leaves:
+			sched.Log.Write(event.UpstreamLeaves, "upstream", e.Upstream, "source", "answer", "request_id", e.RequestID)
+		case Paused:
+			sched.Log.Write(event.UpstreamPaused, "upstream", e.Upstream, "for_ms", e.For.Milliseconds(), "request_id", e.RequestID)
 		case Avoided:
 			sched.Log.Write(event.UpstreamAvoided, "upstream", e.Upstream, "for_ms", e.For.Milliseconds(), "outcome", e.Outcome)
 		}
@@ -122,6 +126,21 @@
 	return Grant{}, result.Errorf(result.Internal, "unexpected effect %T", e)
 }
 
+// Valid reports whether a granted request may still be sent.
+func (sched *Scheduler) Valid(t Ticket) bool {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.Core.Valid(time.Now(), t)
+}
+
+// RetryAfterPause returns after what time a refused caller of a service may return, if
+// all upstreams of the service have asked for a pause, or zero.
+func (sched *Scheduler) RetryAfterPause(s route.ServiceName) time.Duration {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.Core.retryAfterPause(time.Now(), s)
+}
+
 // CountRequest records a caller's request in the retry budget.
 func (sched *Scheduler) CountRequest(s route.ServiceName) {
 	sched.mu.Lock()
--- a/internal/route/upstream.go
+++ b/internal/route/upstream.go
@@ -25,6 +25,16 @@
 	StartedAtMillis int64
 }
 
+// Incarnation identifies one run of an upstream.
+type Incarnation struct {
+	ID              UpstreamID
+	Address         string
+	StartedAtMillis int64
+}
+
+// Incarnation returns the incarnation that an entry describes.
+func (u Upstream) Incarnation() Incarnation { return Incarnation{u.ID, u.Address, u.StartedAtMillis} }
+
 // View is a consistent snapshot of everything that is published, at one revision.
 type View struct {
 	Revision int64
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,6 +24,10 @@
 	// Match tells whether a response belongs to this request; if nil, every response
 	// does. Responses that don't belong to it are skipped.
 	Match func(*http.Response) Match
+	// Valid reports whether the request may still be sent, once there is a connection
+	// for it; nil if it may. Connecting takes time, in which the upstream may become
+	// unavailable.
+	Valid func() bool
 	// AtMostOnce reports that the request may not run twice, so that it matters
 	// whether a refusal can be believed.
 	AtMostOnce bool
@@ -65,6 +69,10 @@
 	bodyComplete bool
 }
 
+// ErrWithdrawn is the error of an exchange whose request was not sent, because it was
+// no longer valid when there was a connection for it.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 var (
 	// errUnrelatedResponse is returned if only responses to other requests arrived.
 	errUnrelatedResponse = errors.New("the answer belongs to another request")
@@ -97,6 +105,11 @@
 		return x
 	}
 	x.conn, x.Reused = c, c.used
+	if r.Valid != nil && !r.Valid() {
+		x.Err = ErrWithdrawn
+		x.stop = func() bool { return true }
+		return x
+	}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.send(r)
 	for {
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -282,3 +282,15 @@
 		p.Close()
 	}
 }
+
+// A request that is no longer valid when there is a connection is not sent.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	address, closed := serve(t, []string{okResponse})
+	p := &Pool{Address: address}
+	defer p.Close()
+	x := p.Exchange(t.Context(), &Request{Method: "POST", Target: "/a", Valid: func() bool { return false }})
+	assert.ErrorIs(t, x.Err, ErrWithdrawn)
+	assert.Assert(t, !x.Sent)
+	x.Cancel()
+	<-closed
+}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -62,6 +62,7 @@
 	GrantLapsed         Code = 3009
 	RetryBudget         Code = 3010
 	RoomReserved        Code = 3011
+	UpstreamsPaused     Code = 3012
 	NoUpstream          Code = 4001
 	UpstreamLeaving     Code = 4002
 	DataCentreOut       Code = 4003
