--- a/internal/direct/statement_test.go
+++ b/internal/direct/statement_test.go
@@ -1,9 +1,11 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +73,19 @@
 		})
 	}
 }
+
+// If each upstream has asked for a pause, a caller that can't wait for its end is refused
+// without an attempt.
+func TestRefusedWhileAllUpstreamsArePaused(t *testing.T) {
+	f := newFixture(t, 2, responseText(200, "Signed: 1\r\n", "ok"))
+	for _, u := range f.view.Upstreams {
+		f.gateway.Scheduler.Tell(placement.Stated{Incarnation: u.Incarnation(), Statement: availability.Statement{Pause: time.Second}})
+	}
+	begin := time.Now()
+	assert.Equal(t, f.call(t, http.MethodPost, "/book/1", "x"), "503 code 3012")
+	assert.Assert(t, time.Since(begin) < 500*time.Millisecond)
+	assert.Equal(t, f.attempts(), 0)
+	var metrics bytes.Buffer
+	f.gateway.WriteMetrics(&metrics)
+	assert.Assert(t, strings.Contains(metrics.String(), `jasminewing_direct_refusals_total{code="3012",name="upstreams_paused"} 1`))
+}
