--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -76,7 +76,7 @@
 var (
 	// errUnrelatedResponse is returned if only responses to other requests arrived.
 	errUnrelatedResponse = errors.New("the answer belongs to another request")
-	// errHeadTooLarge is returned if a response head does not end in time.
+	// errHeadTooLarge is returned if a response head exceeds maxHeadSize.
 	errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHeadSize)
 	// errInformational is returned for interim responses that don't end, and for a
 	// change of the protocol.
