Count the grace for expired entries from the return of the store

Callers were sent to an upstream 2.1 s after it had left.

Timeline, from the log: the store is slow from 24 to 26 s; 204 at frontend-tln-a-1 at 27.259 s; the entry of i-1e1283d873 is deleted at 28.865 s; 311 upstream_removed at 29.02 s at two gateways, at 30.983 s at tln-a-1 and 31.003 s at tln-b-1, which send to it until then. An entry that disappears within 2 s after the store came back may have expired during the outage, so it is kept; but for 2 s from the moment at which it is missed, in place of 2 s from the return, 29.259 s here. Entries that expired are back by then.

TestUpstreamThatLeavesAfterOutageIsNotKeptLonger failed before. Unchanged: while the store does not answer, or if another gateway that is not settled has found the entry missing, it is kept for 2 s from then.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -13,7 +13,7 @@
 //
 // Entries of upstreams expire while the store is unavailable and are published
 // again soon after it recovers. An upstream whose entry disappears right after the
-// store became reachable again is therefore kept for ExpiryGrace.
+// store became reachable again is therefore kept until ExpiryGrace after that.
 //
 // # Usage
 //
@@ -33,8 +33,7 @@
 )
 
 // ExpiryGrace is how long after the store became reachable again the entry of an
-// upstream may be missing because it expired, and how long such an upstream is
-// kept. The platform promises to restore expired entries within about two seconds.
+// upstream may be missing because it expired. The platform promises to restore expired entries within about two seconds.
 const ExpiryGrace = 2 * time.Second
 
 const (
@@ -199,7 +198,7 @@
 	}
 	for key, it := range s.items {
 		if !present[key] && it.entry.Revision <= state.Revision {
-			s.remove(now, key, state.Settled)
+			c.remove(now, s, key, state.Settled)
 		}
 	}
 	s.loaded = true
@@ -224,7 +223,7 @@
 		}
 		if e.Deleted {
 			if it, ok := s.items[e.Key]; ok && it.entry.Revision < e.Revision {
-				s.remove(now, e.Key, c.Settled(now))
+				c.remove(now, s, e.Key, c.Settled(now))
 			}
 			continue
 		}
@@ -298,12 +297,12 @@
 }
 
 // remove deletes an entry. Unless settled is true, an upstream may only have
-// expired and is kept for ExpiryGrace.
-func (s *section) remove(now time.Time, key string, settled bool) {
+// expired and is kept until entries that expired are back.
+func (c *Core) remove(now time.Time, s *section, key string, settled bool) {
 	it := s.items[key]
 	if _, upstream := it.decoded.(route.Upstream); upstream && !settled {
 		if it.expiresAt.IsZero() {
-			it.expiresAt = now.Add(ExpiryGrace)
+			it.expiresAt = c.graceEnd(now)
 			s.items[key] = it
 		}
 		return
@@ -311,6 +310,16 @@
 	delete(s.items, key)
 }
 
+// graceEnd returns when an entry that is missing now counts as deleted: ExpiryGrace after
+// the store became reachable again. As long as that is not known, or if another gateway
+// has found the entry missing, it is ExpiryGrace from now.
+func (c *Core) graceEnd(now time.Time) time.Time {
+	if end := c.reachableSince.Add(ExpiryGrace); !c.storeUnreachable && now.Before(end) {
+		return end
+	}
+	return now.Add(ExpiryGrace)
+}
+
 // NextExpiry returns the earliest time at which a kept upstream expires, or zero
 // if none is pending.
 func (c *Core) NextExpiry() time.Time {
--- a/internal/catalog/core_test.go
+++ b/internal/catalog/core_test.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// Guards against requests to an upstream that left shortly after an outage of the store:
+// its entry counts as deleted once expired entries are back, not that much later.
+func TestUpstreamThatLeavesAfterOutageIsNotKeptLonger(t *testing.T) {
+	c := settledCore(entry("up/a", "", 3), entry("up/b", "", 4))
+	c.SetStoreReachable(start, false)
+	back := start.Add(5 * time.Second)
+	c.SetStoreReachable(back, true)
+	late := back.Add(ExpiryGrace - 100*time.Millisecond)
+	applyChanges(c, late, []Entry{deleted("up/a", 11)}, 11)
+	assert.Equal(t, viewText(c.View(late)), "ab")
+	assert.Equal(t, c.NextExpiry(), back.Add(ExpiryGrace))
+	assert.Equal(t, viewText(c.View(back.Add(ExpiryGrace))), "b")
+}
+
 // Entries expire while the store is unreachable. An upstream that is published
 // again within the grace period stays in the view throughout; one that is not is
 // removed at its end.
