--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"time"
 
@@ -271,61 +270,3 @@
 	a.recordResult(outcome, "")
 	return outcome, outcome == placement.Failed && a.mayRetry(false), nil
 }
-
-// forwardStream forwards a stream to the caller in whole events.
-func (a *attempt) forwardStream(ctx context.Context) (placement.Outcome, bool, error) {
-	resp := a.exchange.Response
-	a.answer = &answerEnd{framing: upstream.FramingOf(resp), how: endedCut}
-	e := &eventReader{source: resp.Body, sequence: eventSequence{lastID: a.lastEventID, continued: a.eventForwarded}}
-	for {
-		whole, err := e.next()
-		if len(whole) > 0 {
-			a.responsePartReceived()
-			if !a.writePart(resp, whole) {
-				a.recordResult(placement.Left, "write to the caller failed")
-				return placement.Left, false, result.Errorf(result.CallerGone, "write to the caller failed")
-			}
-			a.lastEventID, a.parts = e.sequence.lastID, a.parts+1
-			a.eventForwarded = a.eventForwarded || e.returnedEvent
-		}
-		a.answer.unfinished = len(e.pending)
-		switch {
-		case errors.Is(err, io.EOF) && e.brokenOff(a.answer.framing):
-			a.answer.how = endedInsideEvent
-			return a.endFailed(ctx, placement.Broken, "the stream ended inside an event or before any", result.UpstreamCutOff)
-		case errors.Is(err, io.EOF):
-			a.answer.how = endedWhole
-			a.writePart(resp, e.pending)
-			a.recordResult(placement.Served, "")
-			return placement.Served, false, nil
-		case sentBadStream(err):
-			return a.endFailed(ctx, placement.Failed, err.Error(), result.UpstreamBadStream)
-		case err != nil:
-			return a.endFailed(ctx, placement.Broken, err.Error(), result.UpstreamCutOff)
-		}
-	}
-}
-
-// sentBadStream reports whether a stream failed because of what the upstream sent, and
-// not because it ended.
-func sentBadStream(err error) bool {
-	var outOfSequence *sequenceError
-	return errors.As(err, &outOfSequence) || errors.Is(err, errLargeFirstEvent)
-}
-
-// writePart writes a part of a stream to the caller and flushes it. It reports
-// whether the write succeeded.
-func (a *attempt) writePart(resp *http.Response, part []byte) bool {
-	if !a.headersSent {
-		a.headersSent = true
-		maps.Copy(a.w.Header(), ForwardedHeaders(resp.Header))
-		a.w.WriteHeader(resp.StatusCode)
-	}
-	if len(part) == 0 {
-		return true
-	}
-	if _, err := a.w.Write(part); err != nil {
-		return false
-	}
-	return http.NewResponseController(a.w).Flush() == nil
-}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -104,12 +104,12 @@
 }
 
 // leaving reports whether the upstream leaves, by its entry or by its own word.
-func (m *member) leaving() bool { return m.upstream.Leaving || m.stated.Leaving() }
+func (m *member) leaving() bool { return m.upstream.Leaving || m.availability.Leaving() }
 
 // resting reports whether the upstream gets no requests for some time, after failures or
 // at its own request.
 func (m *member) resting(now time.Time) bool {
-	return now.Before(m.avoidedUntil) || m.stated.PauseLeft(now) > 0
+	return now.Before(m.avoidedUntil) || m.availability.PauseLeft(now) > 0
 }
 
 // projectedLoad is the load of an upstream from all gateways, and the prompt
@@ -140,7 +140,7 @@
 
 // available reports whether an eligible upstream can take the request now.
 func (c *Core) available(now time.Time, m *member, r *Request, load projectedLoad) bool {
-	if now.Before(m.avoidedUntil) || !m.stated.Allows(now, len(m.unanswered)) || slices.Contains(r.Tried, m.upstream.ID) || !m.admitsCold(now, c.coldSchedule()) {
+	if now.Before(m.avoidedUntil) || !m.availability.Allows(now, len(m.unanswered)) || slices.Contains(r.Tried, m.upstream.ID) || !m.admitsCold(now, c.coldSchedule()) {
 		return false
 	}
 	if connections := m.service.MaxConnections; connections > 0 && float64(m.inFlight) >= float64(connections)/c.gatewayEstimate() {
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -45,10 +45,10 @@
 	Cold ColdBounds
 
 	members map[route.UpstreamID]*member
-	// stated holds what upstreams have said of themselves. It outlasts their entries,
+	// statements holds what upstreams have said of themselves. It outlasts their entries,
 	// which may lapse and come back.
-	stated  map[route.Incarnation]*statedState
-	waiting []*waitingRequest
+	statements map[route.Incarnation]*incarnationState
+	waiting    []*waitingRequest
 	// lastScheduled is when the waiting requests were last considered.
 	lastScheduled time.Time
 	assignments   map[Ticket]*assignment
@@ -147,7 +147,7 @@
 		c.peerReports = make(map[string]peerReport)
 		c.peerLoads = make(map[LoadKey]Load)
 		c.tiers = make(map[route.ServiceName]*tiers)
-		c.stated = make(map[route.Incarnation]*statedState)
+		c.statements = make(map[route.Incarnation]*incarnationState)
 	}
 }
 
@@ -159,7 +159,7 @@
 		present[u.ID] = true
 		known := c.members[u.ID]
 		if known == nil || known.upstream.StartedAtMillis != u.StartedAtMillis || known.upstream.Address != u.Address {
-			known = &member{stated: c.statedBy(now, u.Incarnation()), cache: newPrefixCache(), key: LoadKeyOf(u.ID), hash: xxhash.Sum64String(string(u.ID))}
+			known = &member{availability: c.availabilityOf(now, u.Incarnation()), cache: newPrefixCache(), key: LoadKeyOf(u.ID), hash: xxhash.Sum64String(string(u.ID))}
 			c.members[u.ID] = known
 		}
 		known.update(now, u, v)
@@ -182,7 +182,7 @@
 	a.started = true
 	a.member.waitingTokens -= a.prefillTokens
 	delete(a.member.unanswered, t)
-	a.member.stated.Answered(now)
+	a.member.availability.Answered(now)
 	a.member.recordLatency(now.Sub(a.sent), a.expected)
 }
 
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -55,8 +55,8 @@
 	consecutiveFailures int
 	avoidedUntil        time.Time
 
-	// stated is what the upstream has said of itself.
-	stated *availability.State
+	// availability is what the upstream has said of itself.
+	availability *availability.State
 
 	coldUntil time.Time
 	// lastColdTurn is the number of the turn in which this gateway last sent to the
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -16,19 +16,19 @@
 	maxReturnSpread = 500 * time.Millisecond
 )
 
-// statedState is what an incarnation of an upstream has said, and when it was last
+// incarnationState is what an incarnation of an upstream has said, and when it was last
 // listed.
-type statedState struct {
+type incarnationState struct {
 	availability.State
 	listedAt time.Time
 }
 
-// statedBy returns what an incarnation that is listed has said.
-func (c *Core) statedBy(now time.Time, i route.Incarnation) *availability.State {
-	s := c.stated[i]
+// availabilityOf returns what an incarnation that is listed has said.
+func (c *Core) availabilityOf(now time.Time, i route.Incarnation) *availability.State {
+	s := c.statements[i]
 	if s == nil {
-		s = &statedState{}
-		c.stated[i] = s
+		s = &incarnationState{}
+		c.statements[i] = s
 	}
 	s.listedAt = now
 	return &s.State
@@ -37,11 +37,11 @@
 // forgetStatements forgets incarnations that have not been listed for
 // statementLifetime.
 func (c *Core) forgetStatements(now time.Time) {
-	for i, s := range c.stated {
+	for i, s := range c.statements {
 		if m := c.members[i.ID]; m != nil && m.upstream.Incarnation() == i {
 			s.listedAt = now
 		} else if now.Sub(s.listedAt) > statementLifetime {
-			delete(c.stated, i)
+			delete(c.statements, i)
 		}
 	}
 }
@@ -49,7 +49,7 @@
 // recordStatement records what an upstream has said. A statement of an incarnation that
 // was never listed here is ignored.
 func (c *Core) recordStatement(now time.Time, m Stated) []Effect {
-	s := c.stated[m.Incarnation]
+	s := c.statements[m.Incarnation]
 	if s == nil {
 		return nil
 	}
@@ -78,7 +78,7 @@
 		return false
 	}
 	m := a.member
-	return c.members[m.upstream.ID] == m && m.eligible(m.upstream.Service) && m.stated.PauseLeft(now) == 0
+	return c.members[m.upstream.ID] == m && m.eligible(m.upstream.Service) && m.availability.PauseLeft(now) == 0
 }
 
 // pauseLeft returns how long no upstream of a service wants requests, because each that
@@ -89,7 +89,7 @@
 		if !m.eligible(s) {
 			continue
 		}
-		left := m.stated.PauseLeft(now)
+		left := m.availability.PauseLeft(now)
 		if left == 0 {
 			return 0
 		}
