--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -44,6 +44,10 @@
 	model *Engine
 	speed float64
 	down  bool
+	// leaving reports that the engine says that it leaves. pause is what it asks for when
+	// it refuses a request; zero if it takes requests.
+	leaving bool
+	pause   time.Duration
 
 	waiting    []*task
 	prefilling []*task
@@ -63,7 +67,7 @@
 
 // add queues a task and reports whether it was accepted.
 func (e *engine) add(t *task) bool {
-	if e.down || len(e.waiting) >= e.model.QueueSize || t.memory() > e.model.MemoryTokens {
+	if e.down || e.pause > 0 || len(e.waiting) >= e.model.QueueSize || t.memory() > e.model.MemoryTokens {
 		return false
 	}
 	e.waiting = append(e.waiting, t)
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/availability"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 )
@@ -82,6 +83,13 @@
 	}
 }
 
+// hear passes what an engine says of itself to the placement core.
+func (g *gateway) hear(u route.Upstream, s availability.Statement) {
+	if !g.sim.ignoreStatements && s != (availability.Statement{}) {
+		g.handle(placement.Stated{Incarnation: u.Incarnation(), Statement: s})
+	}
+}
+
 // call is a request at a gateway.
 type call struct {
 	request *request
@@ -90,7 +98,8 @@
 	ticket  placement.Ticket
 	tried   []route.UpstreamID
 
-	// engine and task are those of the current attempt.
+	// upstream, engine and task are those of the current attempt.
+	upstream    route.Upstream
 	engine      *engine
 	task        *task
 	attempt     int
@@ -127,7 +136,7 @@
 	c.sent, c.started = true, false
 	c.attempt++
 	c.tried = append(c.tried, e.Upstream.ID)
-	c.engine = sim.engineByID[e.Upstream.ID]
+	c.upstream, c.engine = e.Upstream, sim.engineByID[e.Upstream.ID]
 	attempt, r := c.attempt, c.request
 	t := &task{prompt: r.prompt, output: max(r.output-c.produced, 1), rank: r.kind.Rank}
 	c.task = t
@@ -141,6 +150,9 @@
 	}
 	eng := c.engine
 	sim.loop.After(delay, func() {
+		if c.current(attempt) {
+			sim.stats.countArrival(eng)
+		}
 		switch {
 		case !c.current(attempt):
 		case eng.down:
@@ -191,6 +203,8 @@
 	}
 	sim := c.gateway.sim
 	delay := sim.site.CrossDataCentre
+	// Only the head of an answer says it.
+	leaving := !c.started && c.engine.leaving
 	if !c.started {
 		c.started = true
 		delay += sim.site.Engine.FirstToken
@@ -200,6 +214,7 @@
 	c.lastEventAt = sim.loop.Now.Add(delay)
 	sim.loop.After(delay, func() {
 		if c.current(attempt) {
+			c.gateway.hear(c.upstream, availability.Statement{Leaving: leaving})
 			c.gateway.handle(placement.ResponseStarted{Ticket: c.ticket})
 			c.request.receiveEvent()
 		}
@@ -249,6 +264,7 @@
 func (c *call) engineRefused(attempt int) {
 	g := c.gateway
 	g.sim.stats.rejected++
+	g.hear(c.upstream, availability.Statement{Leaving: c.engine.leaving, Pause: c.engine.pause})
 	g.handle(placement.Done{Ticket: c.ticket, Outcome: placement.Full})
 	delete(g.calls, c.ticket)
 	r := c.request
--- a/internal/simulation/load.go
+++ b/internal/simulation/load.go
@@ -11,6 +11,8 @@
 	Bursts []Burst
 	// Crashes take engines down.
 	Crashes []Crash
+	// Withdrawals make engines leave or ask for pauses.
+	Withdrawals []Withdrawal
 	// Duration is how long callers send requests.
 	Duration time.Duration
 }
@@ -30,6 +32,19 @@
 	Share    float64
 }
 
+// Withdrawal makes a share of the engines leave and another share refuse requests, which
+// only their answers say: what is published stays as it is.
+type Withdrawal struct {
+	At time.Duration
+	// LeavingShare of the engines say that they leave, and are gone after LeavingFor.
+	LeavingShare float64
+	LeavingFor   time.Duration
+	// PausingShare of the engines refuse requests for PausingFor, and ask for a pause of
+	// Pause each time.
+	PausingShare      float64
+	PausingFor, Pause time.Duration
+}
+
 // rate returns the rate of a kind of request at a time since the start.
 func (l Load) rate(k *Kind, since time.Duration) float64 {
 	rate := k.Rate * l.Factor
--- a/internal/simulation/report.go
+++ b/internal/simulation/report.go
@@ -40,6 +40,9 @@
 	// Rejected counts attempts that engines did not accept, and Returns the callers
 	// that came back after a refusal.
 	Rejected, Returns int
+	// ToLeaving counts attempts that reached engines which had begun to leave, and
+	// ToPausing those that reached engines which refuse all and ask for pauses.
+	ToLeaving, ToPausing int
 }
 
 // sizeWeight returns the weight of a request's size in its credit: the size against
@@ -72,6 +75,17 @@
 type statistics struct {
 	kinds                        map[string]*KindReport
 	rejected, unreached, returns int
+	toLeaving, toPausing         int
+}
+
+// countArrival counts a request that reaches an engine which wants none.
+func (s *statistics) countArrival(e *engine) {
+	switch {
+	case e.leaving:
+		s.toLeaving++
+	case e.pause > 0:
+		s.toPausing++
+	}
 }
 
 func (s *statistics) record(r *request, o outcome) {
@@ -100,7 +114,7 @@
 }
 
 func (sim *simulation) report(duration time.Duration) Report {
-	out := Report{Rejected: sim.stats.rejected, Returns: sim.stats.returns}
+	out := Report{Rejected: sim.stats.rejected, Returns: sim.stats.returns, ToLeaving: sim.stats.toLeaving, ToPausing: sim.stats.toPausing}
 	earned, owed := 0.0, 0.0
 	for i := range sim.site.Kinds {
 		k := *sim.stats.kinds[sim.site.Kinds[i].Name]
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -26,6 +26,7 @@
 	networkStream
 	gatewayStream
 	crashStream
+	withdrawalStream
 )
 
 // Run is a load that is played on a site.
@@ -33,6 +34,8 @@
 	Site Site
 	Load Load
 	Seed uint64
+	// IgnoreStatements makes the gateways ignore what engines say of themselves.
+	IgnoreStatements bool
 }
 
 // simulation is the state of a run.
@@ -48,13 +51,15 @@
 	engineByAddress map[string]*engine
 	network         *rand.Rand
 	stats           statistics
-	nextPart        placement.PartID
+	// ignoreStatements is that of the Run.
+	ignoreStatements bool
+	nextPart         placement.PartID
 }
 
 // Play plays the load until the last request has ended.
 func (r Run) Play() Report {
 	site := r.Site
-	sim := &simulation{site: &site, network: rand.New(rand.NewPCG(r.Seed, networkStream)), nextPart: 1 << 32}
+	sim := &simulation{site: &site, network: rand.New(rand.NewPCG(r.Seed, networkStream)), nextPart: 1 << 32, ignoreStatements: r.IgnoreStatements}
 	sim.loop.Now = time.Unix(1_800_000_000, 0)
 	sim.stats.kinds = make(map[string]*KindReport)
 	sim.addEngines()
@@ -69,6 +74,10 @@
 	for _, c := range r.Load.Crashes {
 		sim.loop.At(start.Add(c.At), func() { sim.crash(c, random) })
 	}
+	random = rand.New(rand.NewPCG(r.Seed, withdrawalStream))
+	for _, w := range r.Load.Withdrawals {
+		sim.loop.At(start.Add(w.At), func() { sim.withdraw(w, random) })
+	}
 	longest := time.Duration(0)
 	for _, k := range site.Kinds {
 		longest = max(longest, k.Deadline)
@@ -199,6 +208,23 @@
 	}
 }
 
+// withdraw makes engines leave and others ask for pauses.
+func (sim *simulation) withdraw(w Withdrawal, random *rand.Rand) {
+	order := random.Perm(len(sim.engines))
+	leaving := int(w.LeavingShare * float64(len(order)))
+	pausing := int(w.PausingShare * float64(len(order)))
+	for _, i := range order[:leaving] {
+		e := sim.engines[i]
+		e.leaving = true
+		sim.loop.After(w.LeavingFor, e.crash)
+	}
+	for _, i := range order[leaving : leaving+pausing] {
+		e := sim.engines[i]
+		e.pause = w.Pause
+		sim.loop.After(w.PausingFor, func() { e.pause = 0 })
+	}
+}
+
 // cachedParts returns the leading parts of a prompt that the engine has cached, and
 // their number of tokens.
 func (e *engine) cachedParts(prompt []placement.Part) (parts map[placement.PartID]bool, tokens int) {
