Don't complete a stream with an empty rest after it broke off inside an event

Callers could get a stream as complete whose upstream had broken off inside event 2: the upstream that was asked for the rest answered 200 with an empty stream, or one with a comment only, framed as whole, and that was taken for nothing being left.

TestAnswerThatDoesNotContinueBrokenStreamIsNotForwarded, three new cases, failed before. An upstream that broke off inside an event has more to send, so a rest without an event is broken too. A stream that was cut between two events may have an empty rest, as before (TestBrokenStreamIsContinued).

--- a/internal/direct/continued_stream_test.go
+++ b/internal/direct/continued_stream_test.go
@@ -34,11 +34,15 @@
 		{"not HTTP", "ERR " + problem + "\r\n\r\n!"},
 		{"connection closed", "!"},
 		{"connection closed before any event", unframedStream("")},
+		{"nothing with a length", streamWithLength("")},
+		{"nothing in chunks", streamStart() + streamEnd},
+		{"a comment only", streamWithLength(": ping\n\n")},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 2, unframedStream(one+"id: 2\nda"), tt.script)
-			assert.Equal(t, f.call(t, http.MethodPost, "/note/1", "x"), "200 "+one+"!")
+			got := strings.ReplaceAll(f.call(t, http.MethodPost, "/note/1", "x"), ": ping\n\n", "")
+			assert.Equal(t, got, "200 "+one+"!")
 			assert.Equal(t, f.attempts(), 2)
 		})
 	}
--- a/internal/direct/event_reader.go
+++ b/internal/direct/event_reader.go
@@ -23,6 +23,9 @@
 	source io.Reader
 	// sequence holds the ID of the last event returned.
 	sequence eventSequence
+	// eventOwed reports that an earlier stream, which this one continues, broke off inside
+	// an event.
+	eventOwed bool
 	// returnedEvent reports that an event, or a part of one, has been returned.
 	returnedEvent bool
 
@@ -87,11 +90,14 @@
 var errLargeFirstEvent = fmt.Errorf("the first event is over %d bytes", maxEventSize)
 
 // brokenOff reports whether a stream that has ended without an error lacks its end.
-// Upstreams end a stream after a whole event. A stream that ends with its connection
-// has at least one event, because nothing else tells its end from that of an upstream
-// that crashed before the first.
 func (e *eventReader) brokenOff(f upstream.Framing) bool {
-	return e.scanner.insideEvent() || f == upstream.FramedByClose && e.scanner.events == 0
+	return e.scanner.brokenOff(f) || e.owesEvent()
+}
+
+// owesEvent reports whether the stream, or one that it continues, has begun an event that
+// has not ended.
+func (e *eventReader) owesEvent() bool {
+	return e.scanner.inEvent || e.eventOwed && e.scanner.events == 0
 }
 
 // isEventStream reports whether a response is a stream of server-sent events. It is
--- a/internal/direct/event_scanner.go
+++ b/internal/direct/event_scanner.go
@@ -1,5 +1,7 @@
 package direct
 
+import "jasminewing.dev/jasminewing/internal/upstream"
+
 // eventScanner finds the ends of the events in a stream of server-sent events, whose
 // lines end in CR, LF or CRLF. The zero value is at the start of a stream.
 type eventScanner struct {
@@ -66,6 +68,14 @@
 	s.inEvent = false
 }
 
+// brokenOff reports whether a stream that ends here without an error lacks its end.
+// Upstreams end a stream after a whole event. A stream that ends with its connection has
+// at least one event, because nothing else tells its end from that of an upstream that
+// crashed before the first.
+func (s *eventScanner) brokenOff(f upstream.Framing) bool {
+	return s.insideEvent() || f == upstream.FramedByClose && s.events == 0
+}
+
 // insideEvent reports whether the bytes read so far end inside an event or a line. A
 // CR is half a line end, unless the lines of the stream end in CR alone.
 func (s *eventScanner) insideEvent() bool {
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -59,6 +59,9 @@
 	// eventForwarded reports that an event, or a part of one, has been sent to the
 	// caller.
 	eventForwarded bool
+	// eventOwed reports that the last attempt broke off inside an event that has not been
+	// sent, so that a continuation has at least one event.
+	eventOwed bool
 	// parts is the number of writes of events to the caller.
 	parts int
 	// firstPartAt is when the first part of the response arrived.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -16,7 +16,7 @@
 func (a *attempt) forwardStream(ctx context.Context) (placement.Outcome, bool, error) {
 	resp := a.exchange.Response
 	a.answer = &answerEnd{framing: upstream.FramingOf(resp), how: endedCut}
-	e := &eventReader{source: resp.Body, sequence: eventSequence{lastID: a.lastEventID, continued: a.eventForwarded}}
+	e := &eventReader{source: resp.Body, eventOwed: a.eventOwed, sequence: eventSequence{lastID: a.lastEventID, continued: a.eventForwarded}}
 	for {
 		whole, err := e.next()
 		if len(whole) > 0 {
@@ -28,6 +28,7 @@
 			a.lastEventID, a.parts = e.sequence.lastID, a.parts+1
 			a.eventForwarded = a.eventForwarded || e.returnedEvent
 		}
+		a.eventOwed = e.owesEvent()
 		a.answer.unfinished = len(e.pending)
 		switch {
 		case errors.Is(err, io.EOF) && e.brokenOff(a.answer.framing):
