Refuse a buffered stream that ends inside an event

A buffered answer that says it is a stream of events is scanned like a forwarded one and fails if it lacks its end; other types and whole streams are passed on as before.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -260,6 +260,10 @@
 	case len(body) > maxResponseSize:
 		return a.endFailed(ctx, placement.Failed, "answer too large", result.AnswerTooLarge)
 	}
+	if isStreamBrokenOff(resp, a.answer.framing, body) {
+		a.answer.how = endedInsideEvent
+		return a.endFailed(ctx, placement.Broken, "the stream ended inside an event or before any", result.UpstreamCutOff)
+	}
 	a.answer.how = endedWhole
 	a.responsePartReceived()
 	a.buffered = &bufferedResponse{resp.StatusCode, resp.Header, body}
--- a/internal/direct/broken_stream_test.go
+++ b/internal/direct/broken_stream_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+// Guards against a stream on a route that does not stream, broken off inside an event and
+// passed on as a whole answer.
+func TestBufferedStreamThatEndsInsideEventIsNotAnAnswer(t *testing.T) {
+	one := eventText(1)
+	tests := []struct{ name, script, want string }{
+		{"connection closed inside an event", unframedStream(one + "id: 2"), "502 code 4008"},
+		{"connection closed before any event", unframedStream(""), "502 code 4008"},
+		{"length ends inside an event", streamWithLength(one + "id: 2"), "502 code 4008"},
+		{"whole", unframedStream(one), "200 " + one},
+		{"empty, with a length", streamWithLength(""), "200"},
+		{"another type", responseText(200, "Signed: 1\r\nContent-Type: text/plain\r\n", "id: 2"), "200 id: 2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, tt.script)
+			assert.Equal(t, f.call(t, http.MethodPost, "/book/1", "x"), tt.want)
+		})
+	}
+}
+
 // Guards against a broken stream that looks complete to a caller without support for
 // chunks, whose responses end with the connection.
 func TestBrokenStreamIsResetForHTTP10(t *testing.T) {
--- a/internal/direct/event_reader.go
+++ b/internal/direct/event_reader.go
@@ -16,6 +16,9 @@
 // forwarded in parts, and the stream can't be resumed until a later event has ended.
 const maxEventSize = 256 << 10
 
+// eventStreamType is the media type of streams of server-sent events.
+const eventStreamType = "text/event-stream"
+
 // eventReader reads a stream of server-sent events and returns whole events only,
 // so that a stream that breaks within an event can be resumed after the previous
 // event.
@@ -100,9 +103,20 @@
 	return e.scanner.inEvent || e.eventOwed && e.scanner.events == 0
 }
 
+// isStreamBrokenOff reports whether a response that says it is a stream of server-sent
+// events has a body that lacks its end.
+func isStreamBrokenOff(r *http.Response, f upstream.Framing, body []byte) bool {
+	if t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || t != eventStreamType {
+		return false
+	}
+	var s eventScanner
+	s.scan(body)
+	return s.brokenOff(f)
+}
+
 // isEventStream reports whether a response is a stream of server-sent events. It is
 // on a streamed route if it does not say otherwise.
 func isEventStream(r *http.Response) bool {
 	t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	return r.StatusCode == http.StatusOK && (err != nil || t == "text/event-stream")
+	return r.StatusCode == http.StatusOK && (err != nil || t == eventStreamType)
 }
