--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -7,7 +7,7 @@
 
 // The ways of RFC 9112, section 6.
 const (
-	// FramedByLength is a Content-Length, or a status that has no body.
+	// FramedByLength is a Content-Length, or a status or method without a body.
 	FramedByLength Framing = "length"
 	// FramedByChunks is the chunked transfer encoding.
 	FramedByChunks Framing = "chunked"
@@ -24,7 +24,7 @@
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return FramedByChunks
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0, r.Request != nil && r.Request.Method == http.MethodHead:
 		return FramedByLength
 	}
 	return FramedByClose
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -9,6 +9,14 @@
 	"gotest.tools/v3/assert"
 )
 
+// The answer to HEAD has no body that could be cut, with or without a length.
+func TestFramingOfHEAD(t *testing.T) {
+	head := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"))
+	r, err := http.ReadResponse(head, &http.Request{Method: http.MethodHead})
+	assert.NilError(t, err)
+	assert.Equal(t, FramingOf(r), FramedByLength)
+}
+
 func TestFramingOf(t *testing.T) {
 	tests := []struct {
 		name, head string
