Send each request of a sidecar on a connection of its own

An answer that a faulty upstream wrote once more on a connection in use was given to the next caller as its own; a refusal was believed, for a request that ran.

TestRepeatedAnswerIsNotTakenForAnother failed before, with the refusal first. Requests that may run once were safe, as they had connections of their own; now all have, so that nothing can be written before their answer.

TestClosedIdleConnIsNotUpstreamDeath had a kept connection that the upstream closed while idle, which can't be any more: the attempt that it watched for was the one on such a connection. TestClosedConnAfterAnswerIsNotUpstreamDeath replaces it: an upstream that closes after each answer is not reported as dead, no connection is used twice, and one that closes without an answer still counts as a death.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -1,10 +1,10 @@
 // Package engine is the HTTP client for an upstream: a model engine with an
 // OpenAI-style API or any plain service. The sidecar of the upstream uses it.
 //
-// A request is sent once. A request that is not idempotent gets a fresh
-// connection that is not reused, follows no redirects and has a body that cannot
-// be rewound, because net/http resends a request by itself if an idle connection
-// is lost and the request looks replayable.
+// A request is sent once, on a connection of its own: upstreams don't say to which
+// request an answer belongs, and a faulty one may write an earlier answer again on a
+// connection that is in use again. It follows no redirects and has a body that cannot be
+// rewound, so that net/http does not resend it by itself.
 //
 // An answer is complete only if the upstream itself has marked its end: by a
 // matching Content-Length or a chunked terminator, and for an event stream also
@@ -42,14 +42,8 @@
 	DefaultPollTimeout    = 2 * time.Second
 )
 
-const (
-	maxHeaderBytes = 64 << 10
-	maxIdleConns   = 64
-	// idleTimeout is shorter than the time after which common engines close an
-	// idle connection, so that a request is rarely sent on a connection that
-	// the engine is closing.
-	idleTimeout = 2 * time.Second
-)
+// maxHeaderBytes is the maximum size of a response head.
+const maxHeaderBytes = 64 << 10
 
 // Client is an HTTP client for one upstream. Its fields are set before use.
 type Client struct {
@@ -70,26 +64,18 @@
 	// Dial opens a connection. Nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	once     sync.Once
-	pooled   *http.Transport
-	unpooled *http.Transport
-	instance atomic.Pointer[string]
+	once      sync.Once
+	transport *http.Transport
 }
 
 var errSilent = errors.New("upstream silent for too long")
 
-func (c *Client) initTransports() {
-	c.pooled = c.transport()
-	c.unpooled = c.transport()
-	c.unpooled.DisableKeepAlives = true
-}
-
-func (c *Client) transport() *http.Transport {
+func (c *Client) initTransport() {
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: orDefault(c.ConnectTimeout, DefaultConnectTimeout)}).DialContext
 	}
-	return &http.Transport{
+	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -98,24 +84,21 @@
 			return &watchedConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConns:           maxIdleConns,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
 // CloseIdle closes idle connections.
 func (c *Client) CloseIdle() {
-	c.once.Do(c.initTransports)
-	c.pooled.CloseIdleConnections()
-	c.unpooled.CloseIdleConnections()
+	c.once.Do(c.initTransport)
+	c.transport.CloseIdleConnections()
 }
 
 // Do sends a request once and passes its answer to the sink as it arrives. When
 // ctx ends, Do closes the connection at once, which tells the upstream to stop.
 func (c *Client) Do(ctx context.Context, r Request, s Sink) Outcome {
-	c.once.Do(c.initTransports)
+	c.once.Do(c.initTransport)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	k := &call{client: c, request: r, sink: s, start: time.Now()}
@@ -137,17 +120,12 @@
 	timeout      time.Duration
 	out          Outcome
 
-	conn             atomic.Pointer[watchedConn]
-	reused, answered atomic.Bool
+	conn atomic.Pointer[watchedConn]
 }
 
 func (k *call) run(ctx context.Context) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			k.conn.Store(i.Conn.(*watchedConn))
-			k.reused.Store(i.Reused)
-		},
-		GotFirstResponseByte: func() { k.answered.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { k.conn.Store(i.Conn.(*watchedConn)) },
 	})
 	h, err := k.request.build(traced, k.client.Address)
 	if err != nil {
@@ -155,11 +133,7 @@
 		k.fail(result.BadHeader, err.Error())
 		return
 	}
-	t := k.client.pooled
-	if !k.request.Idempotent {
-		t = k.client.unpooled
-	}
-	resp, err := t.RoundTrip(h)
+	resp, err := k.client.transport.RoundTrip(h)
 	if err != nil {
 		k.failWithError(ctx, err)
 		return
@@ -188,27 +162,14 @@
 		k.fail(result.BadHeader, err.Error())
 	case k.out.NotRun:
 		k.fail(result.UpstreamUnreached, err.Error())
-	case k.conn.Load().closedByPeer.Load() || isPeerClose(err) || k.reused.Load() && !k.answered.Load():
-		k.out.Died = k.upstreamDied(ctx)
+	case k.conn.Load().closedByPeer.Load() || isPeerClose(err):
+		k.out.Died = true
 		k.fail(result.UpstreamCutOff, err.Error())
 	default:
 		k.fail(result.UpstreamBadStream, err.Error())
 	}
 }
 
-// upstreamDied reports whether a lost connection means that the upstream died.
-// A reused connection without an answer may also be an idle connection that the
-// upstream closed just as the request was sent. In that case the upstream has
-// not died if it answers a health request with the instance that it last reported.
-func (k *call) upstreamDied(ctx context.Context) bool {
-	if !k.reused.Load() || k.answered.Load() {
-		return true
-	}
-	was := k.client.instance.Load()
-	h, err := k.client.Health(ctx)
-	return err != nil || was == nil || *was != h.Instance
-}
-
 func orDefault[T int64 | time.Duration](v, fallback T) T {
 	if v == 0 {
 		return fallback
--- a/internal/engine/poll.go
+++ b/internal/engine/poll.go
@@ -65,7 +65,6 @@
 	if err != nil {
 		return Health{}, err
 	}
-	c.instance.Store(&a.Instance)
 	h := Health{Up: a.Status == "ok", Draining: a.Status == "draining", Instance: a.Instance}
 	if a.Loaded != nil {
 		h.ReportsLoad, h.Loaded = true, *a.Loaded
@@ -93,7 +92,7 @@
 // poll sends one request and decodes the JSON response into answer. It reads
 // the body only if the status is 200 and answer is not nil.
 func (c *Client) poll(ctx context.Context, method, path string, body []byte, answer any) error {
-	c.once.Do(c.initTransports)
+	c.once.Do(c.initTransport)
 	ctx, cancel := context.WithTimeout(ctx, orDefault(c.PollTimeout, DefaultPollTimeout))
 	defer cancel()
 	h, err := http.NewRequestWithContext(ctx, method, "http://"+string(c.Address)+path, onceReader{bytes.NewReader(body)})
@@ -106,7 +105,7 @@
 	} else {
 		h.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.unpooled.RoundTrip(h)
+	resp, err := c.transport.RoundTrip(h)
 	if err != nil {
 		return result.Errorf(result.UpstreamUnreached, "ask %s: %w", path, err)
 	}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -34,8 +34,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
-	// Idempotent reports that the request may run more than once. Only then is
-	// it sent on a shared connection.
+	// Idempotent reports that the request may run more than once. Only then can its
+	// body be rewound.
 	Idempotent bool
 	// Streamed reports that an event stream is expected.
 	Streamed bool
