Count streams that end out of sequence, and what upstreams say of themselves

A stream that the gateway broke off because an event did not follow the one before it had the ending cut, like a lost connection, so that its cause had no counter of its own; what upstreams say of themselves was in the log only. The ending out_of_sequence and jasminewing_direct_statements_total (leaving, pause, ignored) count them; case 'an event again' of TestAnswerEndIsLogged failed before.

--- a/internal/direct/answer_end.go
+++ b/internal/direct/answer_end.go
@@ -19,9 +19,12 @@
 	endedWhole ending = "whole"
 	// endedInsideEvent is such an end inside an event of a stream.
 	endedInsideEvent ending = "inside_event"
+	// endedOutOfSequence is an end by the gateway, since an event does not follow the one
+	// before it.
+	endedOutOfSequence ending = "out_of_sequence"
 	// endedCut is every other end, such as a reset connection.
 	endedCut ending = "cut"
 )
 
 // endings lists all endings.
-var endings = []ending{endedWhole, endedInsideEvent, endedCut}
+var endings = []ending{endedWhole, endedInsideEvent, endedOutOfSequence, endedCut}
--- a/internal/direct/answer_end_test.go
+++ b/internal/direct/answer_end_test.go
@@ -43,6 +43,7 @@
 		{"chunks", "/draft/1", streamStart(eventText(1)) + streamEnd, ":chunked:whole:0", `{framing="chunked",end="whole"} 1`},
 		{"chunks, cut inside an event", "/draft/1", streamStart(eventText(1), "id: 2\nda") + "!", ":chunked:cut:8", `{framing="chunked",end="cut"} 1`},
 		{"connection", "/draft/1", unframedStream(eventText(1)), ":close:whole:0", `{framing="close",end="whole"} 1`},
+		{"an event again", "/draft/1", streamStart(eventText(1), eventText(1)) + streamEnd, ":chunked:out_of_sequence:0", `{framing="chunked",end="out_of_sequence"} 1`},
 		{"connection, inside an event", "/draft/1", unframedStream(eventText(1) + "id: 2"), ":close:inside_event:5", `{framing="close",end="inside_event"} 1`},
 	}
 	for _, tt := range tests {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -174,7 +174,14 @@
 	if info.Misdirected {
 		return
 	}
+	if info.Statement.Leaving {
+		a.gateway.metrics.statements("leaving").Inc()
+	}
+	if info.Statement.Pause > 0 {
+		a.gateway.metrics.statements("pause").Inc()
+	}
 	if info.BadPause != "" {
+		a.gateway.metrics.statements("ignored").Inc()
 		a.gateway.Log.WriteThrottled(event.PauseIgnored, string(u.ID), "upstream", u.ID, "value", info.BadPause, "request_id", a.call.ID)
 	}
 	if info.Statement != (availability.Statement{}) {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -40,6 +40,9 @@
 		m.attempts(o)
 		m.retries(o)
 	}
+	for _, s := range []string{"leaving", "pause", "ignored"} {
+		m.statements(s)
+	}
 	for _, f := range upstream.Framings {
 		for _, e := range endings {
 			m.answers(f, e)
@@ -47,6 +50,12 @@
 	}
 }
 
+// statements returns the counter of answers in which an upstream says that it leaves, asks
+// for a pause, or asks for one that is ignored.
+func (m *metricSet) statements(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_direct_statements_total{statement=%q}", kind))
+}
+
 // answers returns the counter of upstreams' answers by their framing and ending.
 func (m *metricSet) answers(f upstream.Framing, e ending) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_direct_answers_total{framing=%q,end=%q}", f, e))
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -40,6 +40,7 @@
 			a.recordResult(placement.Served, "")
 			return placement.Served, false, nil
 		case sentBadStream(err):
+			a.answer.how = endedOutOfSequence
 			return a.endFailed(ctx, placement.Failed, err.Error(), result.UpstreamBadStream)
 		case err != nil:
 			return a.endFailed(ctx, placement.Broken, err.Error(), result.UpstreamCutOff)
