--- a/internal/direct/repeated_refusal_test.go
+++ b/internal/direct/repeated_refusal_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -20,7 +19,6 @@
 	refusal string
 	// maxRepeats is how often the refusal is written.
 	maxRepeats int
-	delay      time.Duration
 
 	mu       sync.Mutex
 	runs     map[string]int
@@ -57,7 +55,6 @@
 		if repeat {
 			_, _ = io.WriteString(c, u.refusal)
 		}
-		time.Sleep(u.delay)
 		_, _ = io.WriteString(c, strings.ReplaceAll(responseText(200, "Signed: 1\r\n", "ID"), "ID", id))
 	}
 }
@@ -86,7 +83,7 @@
 				l, err := net.Listen("tcp", "127.0.0.1:0")
 				assert.NilError(t, err)
 				t.Cleanup(func() { _ = l.Close() })
-				u := &repeatingUpstream{refusal: tt.refusal, maxRepeats: 2, delay: 5 * time.Millisecond, runs: map[string]int{}}
+				u := &repeatingUpstream{refusal: tt.refusal, maxRepeats: 2, runs: map[string]int{}}
 				go u.serve(l)
 				upstreams = append(upstreams, u)
 				f.addUpstream(fmt.Sprintf("r%d", n), l.Addr().String())
