--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -21,7 +21,7 @@
 // no answer.
 func playBodies(folder string, trouble bool) (int, error) {
 	const between, after = 5 * time.Second, 10 * time.Second
-	s, err := startSession(1, func(*replica) {})
+	s, err := startSession(1, func(*replica) {}, func(*clients) {})
 	defer s.end()
 	if err != nil {
 		return notRun, err
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,8 +43,10 @@
 	record *record
 	target string
 	name   string
-	// leaveIdle makes the clients use a new connection for each request, and leave it open.
-	leaveIdle bool
+	// alwaysNew makes the clients use a new connection for each request, and leave it open
+	// for openFor after the answer; zero for as long as the gateway does.
+	alwaysNew bool
+	openFor   time.Duration
 
 	mu   sync.Mutex
 	idle []*clientConn
@@ -63,7 +65,7 @@
 
 func (c *clients) conn() (*clientConn, error) {
 	c.mu.Lock()
-	for n := len(c.idle); n > 0 && !c.leaveIdle; n = len(c.idle) {
+	for n := len(c.idle); n > 0 && !c.alwaysNew; n = len(c.idle) {
 		k := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		if time.Since(k.idledAt) < idleTimeout && stillOpen(k) {
@@ -91,6 +93,9 @@
 
 func (c *clients) release(k *clientConn) {
 	k.used, k.idledAt = true, time.Now()
+	if c.alwaysNew && c.openFor > 0 {
+		time.AfterFunc(c.openFor, func() { _ = k.Close() })
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, k)
@@ -103,7 +108,7 @@
 	conn, err := c.conn()
 	if err != nil {
 		c.record.begin(q)
-		q.err = "no connection: " + err.Error()
+		q.failedToConnect, q.err = true, "no connection: "+err.Error()
 		return
 	}
 	q.kept = conn.used
--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -14,7 +14,7 @@
 )
 
 // playEndless lets the engines answer a part of their requests with bytes without end for a
-// while, and counts the requests on kept connections that were passed on to sound replicas
+// while, twice, and counts the requests on kept connections that were passed on to sound replicas
 // and got no answer.
 func playEndless(folder string, trouble bool) (int, error) {
 	const troubleFor, after = 4 * time.Second, 16 * time.Second
@@ -23,18 +23,20 @@
 		if r.engine {
 			r.endless = inTrouble.Load
 		}
-	})
+	}, func(*clients) {})
 	defer s.end()
 	if err != nil {
 		return notRun, err
 	}
 	time.Sleep(calm)
-	inTrouble.Store(trouble)
-	s.record.note("trouble: %v", trouble)
-	time.Sleep(troubleFor)
-	inTrouble.Store(false)
-	s.record.note("end of the trouble")
-	time.Sleep(after)
+	for range 2 {
+		inTrouble.Store(trouble)
+		s.record.note("trouble: %v", trouble)
+		time.Sleep(troubleFor)
+		inTrouble.Store(false)
+		s.record.note("end of the trouble")
+		time.Sleep(after)
+	}
 	s.finish()
 	return s.judgeLost(folder)
 }
--- a/review/standin/parts.go
+++ b/review/standin/parts.go
@@ -48,7 +48,7 @@
 		if r.engine {
 			r.poison, r.crashed = badPart, c.crashed
 		}
-	})
+	}, func(*clients) {})
 	defer s.end()
 	if err != nil {
 		return notRun, err
@@ -87,6 +87,7 @@
 		}
 	}
 	s.record.note("%d crashes, %d requests with the bad part reached replicas", len(c.at), total)
+	s.record.note("%d other requests at engines ended without a whole answer", s.record.brokenOff())
 	s.record.note("BUDGET: %d requests with the bad part reached replicas later than %s after the fifth crash; more than three break the rule", late, contact)
 	if err := s.record.write(filepath.Join(folder, "record.txt")); err != nil {
 		return notRun, err
@@ -96,3 +97,17 @@
 	}
 	return ruleHeld, nil
 }
+
+// brokenOff counts the requests without the bad part that reached a replica and got no whole
+// answer.
+func (r *record) brokenOff() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.arrivals {
+		if q := r.requests[a.id]; !a.bad && q != nil && (!q.whole || q.status != 200) {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -29,7 +29,9 @@
 	whole  bool
 	// left reports that the client closed the connection first.
 	left bool
-	err  string
+	// failedToConnect reports that there was no connection to send it on.
+	failedToConnect bool
+	err             string
 }
 
 // arrival is a request that reached a replica.
--- a/review/standin/session.go
+++ b/review/standin/session.go
@@ -14,9 +14,10 @@
 	stop, stopSupervisors chan struct{}
 }
 
-// startSession starts a deployment and its traffic, which is spread over the gateways. The
-// caller calls end also if there is an error.
-func startSession(gateways int, prepare func(*replica)) (*session, error) {
+// startSession starts a deployment and its traffic, which is spread over the gateways.
+// prepare and configure change the replicas and the clients before they start. The caller
+// calls end also if there is an error.
+func startSession(gateways int, prepare func(*replica), configure func(*clients)) (*session, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -32,6 +33,7 @@
 	time.Sleep(settle)
 	for n, g := range s.gateways {
 		c := &clients{record: s.record, target: g.callers, name: g.name}
+		configure(c)
 		s.clients = append(s.clients, c)
 		for m, k := range kinds {
 			c.wait.Add(1)
