Review: show that an entry with missing fields takes requests away from replicas

A script puts one entry of another writer, which names no replica to use. The gateways send nearly all bookings to its address and pass on the 404 of what runs there: DENIED.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		os.Exit(notRun)
 	}
-	scenarios := map[string]func(folder string, trouble bool) (int, error){"endless": playEndless, "parts": playParts, "bodies": playBodies, "idle": playIdle}
+	scenarios := map[string]func(folder string, trouble bool) (int, error){"endless": playEndless, "parts": playParts, "bodies": playBodies, "idle": playIdle, "entry": playEntry}
 	play := scenarios[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no case", os.Args[1])
