Answer requests that are read as a planned stop ends

Cause: at the end of the drain, stopServer gave connections 150 ms and closed them, also with most of the grace period left. http.Server.Shutdown, which it called first, drops a request whose head is read during the shutdown, and closes a kept connection on which only a part of a head has arrived.

Connections now belong to process.callerListener. At the end of a stop it makes the reads of connections without a request fail, so that a connection is never closed between the first byte that was read and the answer. What the kernel holds at that time is still read, and waiting connections are accepted. The process waits for the connections until 0.25 s before the end of the grace period, and ends at once when none is left. Heads that are being read count as requests in flight, and quiet time is counted in checks, so that a process without processor time does not take its own stall for silence. Answers to requests that were in flight as the stop began ask to close the connection too.

The servers of readiness and metrics waited up to six seconds for a connection that had sent nothing. They now wait 50 ms.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -123,9 +123,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.stop.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	p := &proxiedRequest{gateway: g, w: w, chunksSupported: r.ProtoAtLeast(1, 1), receivedAt: time.Now()}
 	p.serve(r)
 }
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,8 +51,8 @@
 func (p *proxiedRequest) abort() {
 	if !p.chunksSupported {
 		if c, _, err := http.NewResponseController(p.w).Hijack(); err == nil {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
+			if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+				_ = l.SetLinger(0)
 			}
 			_ = c.Close()
 		}
@@ -65,6 +64,7 @@
 	h := p.w.Header()
 	maps.Copy(h, ForwardedHeaders(p.buffered.header))
 	h.Set("Content-Length", strconv.Itoa(len(p.buffered.body)))
+	p.gateway.askToClose(h)
 	p.w.WriteHeader(p.buffered.status)
 	_, _ = p.w.Write(p.buffered.body)
 }
@@ -89,6 +89,7 @@
 		body = []byte(`{}`)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	p.gateway.askToClose(h)
 	p.w.WriteHeader(status)
 	_, _ = p.w.Write(body)
 }
--- a/internal/direct/stop.go
+++ b/internal/direct/stop.go
@@ -63,23 +63,32 @@
 // broken off.
 func (g *Gateway) End() { g.stop.end() }
 
-// WaitIdle waits until no request has been in flight for the quiet period, or
-// ctx is done.
-func (g *Gateway) WaitIdle(ctx context.Context, quiet time.Duration) {
+// WaitIdle waits until no request has been in flight for the quiet period, or ctx is done.
+// arriving returns the number of requests that have not reached the gateway yet because
+// their heads are still being read.
+//
+// The period is counted in checks, not by the clock: a process that gets no processor time
+// must not conclude that no requests arrive.
+func (g *Gateway) WaitIdle(ctx context.Context, quiet time.Duration, arriving func() int) {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	lastBusy := time.Now()
-	for {
+	for idle := time.Duration(0); idle < quiet; {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			if g.InFlight() > 0 {
-				lastBusy = now
-			} else if now.Sub(lastBusy) >= quiet {
-				return
-			}
+		case <-t.C:
 		}
+		idle += drainPollInterval
+		if g.InFlight() > 0 || arriving() > 0 {
+			idle = 0
+		}
+	}
+}
+
+// askToClose asks the caller to close its connection if the gateway is stopping.
+func (g *Gateway) askToClose(h http.Header) {
+	if g.stop.draining.Load() {
+		h.Set("Connection", "close")
 	}
 }
 
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -61,6 +61,7 @@
 	if !a.headersSent {
 		a.headersSent = true
 		maps.Copy(a.w.Header(), ForwardedHeaders(resp.Header))
+		a.gateway.askToClose(a.w.Header())
 		a.w.WriteHeader(resp.StatusCode)
 	}
 	if len(part) == 0 {
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -33,19 +32,6 @@
 	// memoryShare is the fraction of MemoryLimit that is the soft memory limit of
 	// the Go runtime. Near that limit the garbage collector runs more often.
 	memoryShare = 0.7
-	// settleTime is how long a stopping gateway still accepts requests after its
-	// readiness check started to fail. The balancer checks once a second and sends
-	// requests until two checks have failed.
-	settleTime = 2500 * time.Millisecond
-	// quietPeriod is how long no request may be in flight before a stopping
-	// gateway closes its idle connections.
-	quietPeriod = 300 * time.Millisecond
-	// stopMargin is the part of StopLimit that remains for the rest of the
-	// shutdown after the drain.
-	stopMargin = 600 * time.Millisecond
-	// endTime is how long the errors that end the requests left at that time may take to
-	// be written, and how long the connections may then take to close.
-	endTime = 150 * time.Millisecond
 	// directIdleTimeout is longer than the time for which callers reuse a
 	// connection.
 	directIdleTimeout = time.Minute
@@ -184,10 +170,12 @@
 		gr.run(p.reportDroppedLines)
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, s) })
 	}))
-	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
-	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g)))
-	serveHTTPUntil(lc, gr, l.callers, newDirectServer(g), stopServer)
-	lc.Append(fx.StopHook(func(context.Context) { p.drain(g) }))
+	serveHTTPUntil(lc, gr, l.metrics, newAdminServer(metricsHandler(g)), stopAdminServer)
+	serveHTTPUntil(lc, gr, l.ready, newAdminServer(p.readyHandler(g)), stopAdminServer)
+	callers := newCallerListener(l.callers)
+	serveHTTPUntil(lc, gr, callers, callers.attach(newDirectServer(g)), func(_ context.Context, s *http.Server) error {
+		return p.stopServing(g, callers, s)
+	})
 	p.Log.Write(event.Started, "program", "direct", "vm", p.Name, "data_centre", p.DataCentre,
 		"listen", l.callers.Addr(), "peer_listen", l.peers.Addr(), "ready_listen", l.ready.Addr(),
 		"metrics_listen", l.metrics.Addr())
@@ -265,34 +253,3 @@
 		}
 	}
 }
-
-// drain makes the readiness check fail, accepts requests for settleTime or half
-// of StopLimit, whichever is shorter, and then refuses new ones. It returns when
-// no request has been in flight for quietPeriod, or stopMargin before StopLimit. What is
-// unanswered then gets an error.
-func (p *Direct) drain(g *direct.Gateway) {
-	g.Drain()
-	endsAt := time.Now().Add(p.StopLimit - stopMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
-	defer cancel()
-	settle := time.NewTimer(min(settleTime, p.StopLimit/2))
-	defer settle.Stop()
-	<-settle.C
-	g.RefuseNew(endsAt)
-	g.WaitIdle(ctx, quietPeriod)
-	g.End()
-	ctx, cancel = context.WithTimeout(context.Background(), endTime)
-	defer cancel()
-	g.WaitIdle(ctx, 0)
-}
-
-// stopServer stops the server of the callers. Connections on which a caller still sends the
-// body of a request that was refused are closed after endTime.
-func stopServer(ctx context.Context, s *http.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, endTime)
-	defer cancel()
-	if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return s.Close()
-}
--- /dev/null
+++ b/internal/process/direct_stop.go
@@ -0,0 +1,73 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"jasminewing.dev/jasminewing/internal/direct"
+)
+
+const (
+	// settleTime is how long a stopping gateway still accepts requests after its
+	// readiness check started to fail. The balancer checks once a second and sends
+	// requests until two checks have failed.
+	settleTime = 2500 * time.Millisecond
+	// quietPeriod is how long no request may be in flight before a stopping
+	// gateway closes its idle connections.
+	quietPeriod = 300 * time.Millisecond
+	// stopMargin is the part of StopLimit that remains for the errors that end the requests
+	// left at that time, and for the rest of the shutdown.
+	stopMargin = 600 * time.Millisecond
+	// exitMargin is the part of StopLimit that remains for the rest of the shutdown.
+	exitMargin = 250 * time.Millisecond
+	// adminStopTime is how long the stop of an admin server waits for requests, and for
+	// connections that have sent none yet.
+	adminStopTime = 50 * time.Millisecond
+)
+
+// stopServing makes the readiness check fail, accepts requests for settleTime or half of
+// StopLimit, whichever is shorter, and then refuses new ones. When no request has been in
+// flight for quietPeriod, or stopMargin before StopLimit, it closes each connection as soon
+// as it has no unanswered request. Requests that are unanswered stopMargin before StopLimit
+// get an error. It returns when all connections are closed, or closes them exitMargin before
+// StopLimit.
+func (p *Direct) stopServing(g *direct.Gateway, l *callerListener, s *http.Server) error {
+	begin := time.Now()
+	endsAt := begin.Add(p.StopLimit - stopMargin)
+	beforeEnd, cancel := context.WithDeadline(context.Background(), endsAt)
+	defer cancel()
+	beforeExit, cancel := context.WithDeadline(context.Background(), begin.Add(p.StopLimit-exitMargin))
+	defer cancel()
+	g.Drain()
+	settle := time.NewTimer(min(settleTime, p.StopLimit/2))
+	defer settle.Stop()
+	<-settle.C
+	g.RefuseNew(endsAt)
+	g.WaitIdle(beforeEnd, quietPeriod, l.unanswered)
+	l.end()
+	waitEnded(beforeEnd, l)
+	g.End()
+	waitEnded(beforeExit, l)
+	return s.Close()
+}
+
+// waitEnded waits until a listener and its connections are closed, or ctx is done.
+func waitEnded(ctx context.Context, l *callerListener) {
+	select {
+	case <-l.ended:
+	case <-ctx.Done():
+	}
+}
+
+// stopAdminServer stops a server that only has short requests. Shutdown alone would wait up
+// to six seconds for a connection that has sent nothing.
+func stopAdminServer(ctx context.Context, s *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, adminStopTime)
+	defer cancel()
+	if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return s.Close()
+}
