Skip changes older than the known state of a section

Cause: a watch may end after newer complete state of another gateway was applied. ApplyChanges applied its changes all the same, so that an upstream, or a data centre out of service, that was written and deleted in between came back and stayed. It also cancelled the expiry of an upstream that was kept for the grace period.

Changes up to the revision that the section is known to be at are now skipped. Complete states older than that were ignored already.

internal/fleet hasn't the fault: its values are never deleted and are replaced by higher revisions only, and its VM list by a higher version only.

--- a/internal/catalog/core.go
+++ b/internal/catalog/core.go
@@ -207,10 +207,15 @@
 }
 
 // ApplyChanges applies changes of a section, which must be in the order of their
-// revisions. The state is then as of the given revision. Of several changes of a
-// key it applies the last.
+// revisions. The state is then as of the given revision, if that is newer. Of several
+// changes of a key it applies the last.
+//
+// It skips changes up to the revision of the known state, which has them: newer state of
+// another gateway may have been applied while the store was being watched, and in it an
+// entry that the changes write may be deleted.
 func (c *Core) ApplyChanges(now time.Time, id Section, changes []Entry, revision Revision) []SkippedEntry {
 	s := &c.sections[id]
+	known := s.revision
 	last := make(map[string]int, len(changes))
 	for n, e := range changes {
 		last[e.Key] = n
@@ -218,7 +223,7 @@
 	var skipped []SkippedEntry
 	for n, e := range changes {
 		s.advance(e.Revision, e.Revision)
-		if last[e.Key] != n {
+		if last[e.Key] != n || e.Revision <= known {
 			continue
 		}
 		if e.Deleted {
