Wait for answers that are being written at the end of a planned stop

A stop closed all connections 0.25 s before the end of the grace period, also when a busy process had not written the answers that it had ended requests with: in one run with -race beside other work, 11 requests were unanswered then. It now waits for these until 0.1 s before the end. A request counts as answered when the answer has been written, not when the handler has returned.

--- a/internal/process/caller_conn.go
+++ b/internal/process/caller_conn.go
@@ -22,8 +22,9 @@
 	requestNone requestPhase = iota
 	// requestUnanswered: a byte of a request has been read.
 	requestUnanswered
-	// requestAnswered: the handler has returned. The server sends the rest of the answer and
-	// may read the rest of the body.
+	// requestHandled: the handler has returned. The server may still write the answer.
+	requestHandled
+	// requestAnswered: the server has written the answer, and may read the rest of the body.
 	requestAnswered
 )
 
@@ -45,6 +46,11 @@
 
 // Read reads from the connection and notes the begin of a request.
 func (c *callerConn) Read(b []byte) (int, error) {
+	// net/http reads a single byte beside the handler, to notice callers that disconnect. That
+	// read may begin after the handler has returned.
+	if len(b) > 1 {
+		c.noteAnswered()
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prepareFinalRead() {
 		n, err = c.Conn.Read(b)
@@ -75,6 +81,17 @@
 	}
 }
 
+// noteAnswered notes that the answer has been written. After the handler has returned, the
+// server writes the rest of the answer before it reads again or sets a deadline of reads.
+func (c *callerConn) noteAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == requestHandled {
+		c.phase = requestAnswered
+		c.applyReadDeadline()
+	}
+}
+
 func (c *callerConn) setPhase(p requestPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,7 +104,7 @@
 func (c *callerConn) unanswered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == requestUnanswered
+	return c.phase == requestUnanswered || c.phase == requestHandled
 }
 
 func (c *callerConn) end() {
@@ -100,6 +117,7 @@
 // SetReadDeadline sets the deadline of reads, which is earlier at the end of the server
 // unless a request is unanswered.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.noteAnswered()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -142,6 +160,7 @@
 // CloseWrite closes the sending side. The server calls it after an answer to a request whose
 // body it has not read, so that the answer isn't lost.
 func (c *callerConn) CloseWrite() error {
+	c.noteAnswered()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/internal/process/caller_listener.go
+++ b/internal/process/caller_listener.go
@@ -70,7 +70,7 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer r.Context().Value(callerConnKey{}).(*callerConn).setPhase(requestAnswered)
+		defer r.Context().Value(callerConnKey{}).(*callerConn).setPhase(requestHandled)
 		handler.ServeHTTP(w, r)
 	})
 	return s
@@ -183,7 +183,7 @@
 }
 
 // unanswered returns the number of connections from which at least one byte of a request has
-// been read whose handler has not returned.
+// been read whose answer has not been written.
 func (l *callerListener) unanswered() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/process/caller_listener_test.go
+++ b/internal/process/caller_listener_test.go
@@ -165,11 +165,24 @@
 			e.expectAnswer()
 			e.expectClosed(0)
 		}},
+		{"answer not written yet", closingHandler, nil, func(e *endTest) {
+			// The pipe holds no bytes: the server writes the answer as the client reads it.
+			e.send(endRequest)
+			e.listener.end()
+			time.Sleep(time.Second)
+			assert.Equal(e.t, e.listener.unanswered(), 1)
+			e.expectAnswer()
+			synctest.Wait()
+			assert.Equal(e.t, e.listener.unanswered(), 0)
+			e.expectClosed(0)
+		}},
 		{"answered before the body has come", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Connection", "close")
 		}, nil, func(e *endTest) {
 			e.send(endRequest[:len(endRequest)-1])
 			e.expectAnswer()
+			synctest.Wait()
+			assert.Equal(e.t, e.listener.unanswered(), 0)
 			e.listener.end()
 			e.expectClosed(lingerTime)
 		}},
--- a/internal/process/direct_stop.go
+++ b/internal/process/direct_stop.go
@@ -20,8 +20,12 @@
 	// stopMargin is the part of StopLimit that remains for the errors that end the requests
 	// left at that time, and for the rest of the shutdown.
 	stopMargin = 600 * time.Millisecond
-	// exitMargin is the part of StopLimit that remains for the rest of the shutdown.
+	// exitMargin is the part of StopLimit that remains for the rest of the shutdown, and
+	// cutMargin that which remains if requests are still unanswered by then.
 	exitMargin = 250 * time.Millisecond
+	cutMargin  = 100 * time.Millisecond
+	// unansweredPollInterval is how often a stop checks for unanswered requests at its end.
+	unansweredPollInterval = 5 * time.Millisecond
 	// adminStopTime is how long the stop of an admin server waits for requests, and for
 	// connections that have sent none yet.
 	adminStopTime = 50 * time.Millisecond
@@ -32,7 +36,7 @@
 // flight for quietPeriod, or stopMargin before StopLimit, it closes each connection as soon
 // as it has no unanswered request. Requests that are unanswered stopMargin before StopLimit
 // get an error. It returns when all connections are closed, or closes them exitMargin before
-// StopLimit.
+// StopLimit, or, while requests are unanswered, cutMargin before it.
 func (p *Direct) stopServing(g *direct.Gateway, l *callerListener, s *http.Server) error {
 	begin := time.Now()
 	endsAt := begin.Add(p.StopLimit - stopMargin)
@@ -50,6 +54,9 @@
 	waitEnded(beforeEnd, l)
 	g.End()
 	waitEnded(beforeExit, l)
+	for cutAt := begin.Add(p.StopLimit - cutMargin); l.unanswered() > 0 && time.Now().Before(cutAt); {
+		time.Sleep(unansweredPollInterval)
+	}
 	return s.Close()
 }
 
