Placement: bound what leaves a data centre

Cause: a constant price of a kilobyte between data centres made all gateways that saw the same queue send requests away together, also when the other data centres were full, and kept none at home while it had room.

Change: requests of services whose upstreams are in several data centres stay while an upstream of their own has room. Those of plain services leave by a damped share and a quota of this gateway in what is free elsewhere. Without news for 2 s the constant price applies. Reasons and shares are in the log line of a request and in metrics.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -83,7 +83,10 @@
 func (g *Gateway) CountRefusal(c result.Code) { g.metrics.refusal(c).Inc() }
 
 // WriteMetrics writes the gateway's metrics in the Prometheus text format.
-func (g *Gateway) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
+func (g *Gateway) WriteMetrics(w io.Writer) {
+	g.metrics.updateShares(g.Scheduler.CrossingShares())
+	g.metrics.set.WritePrometheus(w)
+}
 
 // ApplyView applies a newly published view: it informs placement, logs the
 // changes, and closes the connection pools of removed upstreams. It must not be
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"jasminewing.dev/jasminewing/internal/placement"
+	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
@@ -42,6 +43,9 @@
 		m.attempts(o)
 		m.retries(o)
 	}
+	for _, r := range placement.CrossingReasons() {
+		m.crossings(r)
+	}
 	for _, s := range []string{"leaving", "pause", "ignored"} {
 		m.statements(s)
 	}
@@ -52,6 +56,19 @@
 	}
 }
 
+// crossings returns the counter of attempts that were sent to other data centres for a
+// reason.
+func (m *metricSet) crossings(r placement.CrossingReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("jasminewing_direct_crossings_total{reason=%q}", r))
+}
+
+// updateShares sets the gauges of the shares of requests that may leave the data centre.
+func (m *metricSet) updateShares(shares map[route.ServiceName]float64) {
+	for s, share := range shares {
+		m.set.GetOrCreateGauge(fmt.Sprintf("jasminewing_direct_crossing_share{service=%q}", s), nil).Set(share)
+	}
+}
+
 // statements returns the counter of answers in which an upstream says that it leaves, asks
 // for a pause, or asks for one that is ignored.
 func (m *metricSet) statements(kind string) *metrics.Counter {
@@ -90,6 +107,9 @@
 	}
 	for _, a := range p.attempts {
 		m.attempts(a.outcome).Inc()
+		if a.crossing != placement.Stayed {
+			m.crossings(a.crossing).Inc()
+		}
 		if a.answer != nil {
 			m.answers(a.answer.framing, a.answer.how).Inc()
 		}
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -82,7 +82,9 @@
 	// waited is how long the request waited for the grant, and expected the
 	// estimated time until the response starts.
 	waited, expected time.Duration
-	detail           string
+	// crossing is why the upstream was in another data centre.
+	crossing placement.CrossingReason
+	detail   string
 	// answer describes the upstream's answer; nil if none began.
 	answer *answerEnd
 	// skipped is the number of answers that were skipped because they can't be shown to
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -115,6 +115,9 @@
 	if len(p.attempts) > 0 {
 		fields = append(fields, "sends", p.attemptsText())
 	}
+	if left := p.crossingsText(); left != "" {
+		fields = append(fields, "left_data_centre", left)
+	}
 	if p.brokeOff() {
 		fields = append(fields, "parts", partsText(p.call.Prompt))
 	}
@@ -146,6 +149,17 @@
 	return b.String()
 }
 
+// crossingsText lists why attempts were sent to other data centres, in order.
+func (p *proxiedRequest) crossingsText() string {
+	var reasons []string
+	for _, a := range p.attempts {
+		if a.crossing != placement.Stayed {
+			reasons = append(reasons, a.crossing.String())
+		}
+	}
+	return strings.Join(reasons, ",")
+}
+
 // attemptsText formats the attempts as upstream:outcome:took:waited:expected,
 // with times in milliseconds, then framing:ending:unfinished of the answer if it
 // began, and the detail in parentheses if there is one.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -197,9 +197,7 @@
 	}
 	wait = time.Duration(float64(wait)*m.slowdown) + m.overdue(now)
 	cost += wait + time.Duration(lateFactor*max(float64(wait)-lateThreshold*float64(r.Objective), 0))
-	if m.upstream.DataCentre != c.DataCentre {
-		cost += crossDataCentreCost * time.Duration(r.Bytes) / 1024
-	}
+	cost += c.crossingPrice(m, r, p)
 	cost += time.Duration(failureCost * m.failureRate * float64(r.Objective))
 	return wait, cost
 }
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -60,7 +60,8 @@
 	gateways, gatewayRank, livePeers int
 	randomCounter                    uint64
 	// tiers holds the ranks of each service's recent requests.
-	tiers map[route.ServiceName]*tiers
+	tiers     map[route.ServiceName]*tiers
+	crossings crossings
 }
 
 // peerReport is the last load report of another gateway.
@@ -74,6 +75,9 @@
 	ticket  Ticket
 	request Request
 	since   time.Time
+	// draw is a random number from 0 to 1. The request may leave the data centre if the
+	// share of requests that do is above it.
+	draw float64
 }
 
 // assignment is a request that was sent to an upstream.
@@ -87,11 +91,16 @@
 	started       bool
 	class         capacityClass
 	deadline      time.Time
+	// crossing is why the request was sent to another data centre, and destination the
+	// one whose quota it counts towards, or nil.
+	crossing    CrossingReason
+	destination *destination
 }
 
 // Handle processes one message and returns the resulting effects.
 func (c *Core) Handle(now time.Time, m Message) []Effect {
 	c.init()
+	c.stepCrossings(now)
 	var out []Effect
 	switch m := m.(type) {
 	case ViewUpdate:
@@ -113,6 +122,7 @@
 		c.forgetPeer(m.Gateway)
 		c.peerReports[m.Gateway] = peerReport{now, m.Loads}
 		c.addPeerLoads(m.Loads, 1)
+		c.crossings.newsAt = now
 	case Membership:
 		c.gateways, c.gatewayRank, c.livePeers = m.Count, m.Rank, m.LivePeers
 	}
@@ -127,7 +137,7 @@
 // queues it. It returns nil if the request waits.
 func (c *Core) admitAtOnce(now time.Time, m Enqueue) Effect {
 	c.countTier(now, &m.Request)
-	w := &waitingRequest{ticket: m.Ticket, request: m.Request, since: now}
+	w := &waitingRequest{ticket: m.Ticket, request: m.Request, since: now, draw: float64(c.hash(^uint64(m.Ticket))>>11) / (1 << 53)}
 	ahead := func(o *waitingRequest) bool {
 		return o.request.Service == m.Request.Service && o.request.Rank <= m.Request.Rank
 	}
@@ -170,6 +180,7 @@
 		}
 	}
 	c.forgetStatements(now)
+	c.indexCrossings()
 	c.reserveShortEngines()
 }
 
@@ -202,6 +213,7 @@
 	c.observePace(now, a, o)
 	m := a.member
 	m.inFlight--
+	c.crossingEnds(now, a, o)
 	m.memoryTokens -= a.memoryTokens
 	if backoff := m.recordOutcome(now, o); backoff > 0 {
 		return []Effect{Avoided{m.upstream.ID, backoff, o}}
@@ -252,9 +264,12 @@
 	class := capacityClass{r.Service, r.Rank}
 	if !full[class] {
 		l := c.limitsFor(class, r.Objective)
+		c.planCrossing(now, w, l)
 		if ch := c.choose(now, r, l); ch.member != nil {
-			c.assign(now, w, ch)
-			return Grant{w.ticket, ch.member.upstream, ch.expected, ch.kvSource()}
+			if reason, ok := c.mayPlace(ch.member, r); ok {
+				c.assign(now, w, ch, reason)
+				return Grant{w.ticket, ch.member.upstream, ch.expected, ch.kvSource(), reason}
+			}
 		}
 		full[class] = !c.hasRoom(class, l)
 	}
@@ -294,17 +309,22 @@
 // between gateways.
 func (c *Core) nextRandom() uint64 {
 	c.randomCounter++
+	return c.hash(c.randomCounter)
+}
+
+// hash returns a hash of a number that differs between gateways.
+func (c *Core) hash(n uint64) uint64 {
 	var b [16]byte
 	for i := range 8 {
 		b[i] = byte(c.Seed >> (8 * i))
-		b[8+i] = byte(c.randomCounter >> (8 * i))
+		b[8+i] = byte(n >> (8 * i))
 	}
 	return xxhash.Sum64(b[:])
 }
 
-func (c *Core) assign(now time.Time, w *waitingRequest, ch choice) {
+func (c *Core) assign(now time.Time, w *waitingRequest, ch choice, crossing CrossingReason) {
 	m := ch.member
-	a := &assignment{member: m, sent: now, expected: ch.expected, deadline: w.request.Deadline}
+	a := &assignment{member: m, sent: now, expected: ch.expected, deadline: w.request.Deadline, crossing: crossing}
 	a.class = capacityClass{w.request.Service, w.request.Rank}
 	a.prefillTokens = ch.load.prefillTokens
 	a.memoryTokens = ch.load.prefillTokens + ch.load.fetchedTokens + w.request.OutputTokens
@@ -315,6 +335,7 @@
 	m.cache.add(w.request.Prompt)
 	m.recordColdAttempt(now, c.coldSchedule())
 	c.assignments[w.ticket] = a
+	c.crossingBegins(a)
 	c.tiers[w.request.Service].granted(w.request.Rank)
 }
 
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -189,6 +189,8 @@
 	// KVSource is the address of an engine that holds prompt parts that the upstream
 	// lacks and can fetch, or empty.
 	KVSource string
+	// Crossing is why the upstream is in another data centre than the gateway.
+	Crossing CrossingReason
 }
 
 // Refuse rejects a request that has not been sent.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -170,6 +170,14 @@
 	return true
 }
 
+// CrossingShares returns for each service the share of the requests without room in their
+// data centre that may leave it.
+func (sched *Scheduler) CrossingShares() map[route.ServiceName]float64 {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.Core.CrossingShares()
+}
+
 // Loads returns the load that this gateway has in flight per upstream, to be
 // reported to the other gateways.
 func (sched *Scheduler) Loads() map[LoadKey]Load {
