Place prompt parts by the speed of engines

Change: gateways tell each other how fast engines respond; the hash that places parts is weighted by it; fewer engines are reserved for short prompts where batches are large, and urgent requests move instead of waiting there.

--- a/internal/event/entries.go
+++ b/internal/event/entries.go
@@ -43,6 +43,7 @@
 	{UpstreamAvoided, "upstream_avoided", Warn, "upstream failed; it gets no requests during a backoff", "check the upstream if it persists"},
 	{UpstreamPaused, "upstream_paused", Info, "upstream asked for a pause; it gets no requests meanwhile", "none; add upstreams if many ask for pauses"},
 	{PauseIgnored, "pause_ignored", Warn, "upstream asked for a pause that is no number of seconds", "correct the Retry-After header of the upstream"},
+	{EngineWeighed, "engine_weighed", Info, "engine is to hold more or fewer prompt parts, by its speed", "check an engine whose weight keeps falling; it has become slow"},
 	{RequestFailed, "request_failed", Warn, "request failed", "none for a single event; see the counters by code"},
 	{RequestSuspect, "request_suspect", Error, "request suspected of crashing upstreams", "ask the owner of the client account what it sends"},
 	{AnswerCutOff, "answer_cut_off", Warn, "response ended before it was complete", "none for a single event; check the upstream that is named"},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	UpstreamAvoided Number = 312
 	UpstreamPaused  Number = 313
 	PauseIgnored    Number = 314
+	EngineWeighed   Number = 315
 	RequestFailed   Number = 401
 	RequestSuspect  Number = 402
 	AnswerCutOff    Number = 403
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,7 +14,7 @@
 	// prefillTokensPerSecond is the number of prompt tokens that an engine is
 	// assumed to process per second, and timePerMillionPairs the time that
 	// attention takes for each million pairs of a token and an earlier token. The
-	// measured latency of an upstream corrects both through member.slowdown.
+	// latencies of the service and of the upstream correct both, see member.slowdown.
 	prefillTokensPerSecond = 55_000.0
 	timePerMillionPairs    = 550 * time.Microsecond
 	// plainResponseTime is the typical response time of a plain upstream.
@@ -32,6 +32,10 @@
 	// fetchCost is the cost of fetching a thousand tokens from the engine that
 	// holds them.
 	fetchCost = 1200 * time.Millisecond
+	// urgentRecomputeCost is the cost of processing or fetching a thousand tokens again
+	// for a request that is more urgent than the least urgent tier, on engines with
+	// large batches. It should rather move than wait behind the prompts of many others.
+	urgentRecomputeCost = 80 * time.Millisecond
 	// secondChoiceFactor scales the recompute and fetch cost for the second choice
 	// for a prompt. All gateways fall back to the second choice when the first
 	// choice is busy.
@@ -44,9 +48,12 @@
 	failureCost = 3.0
 	// shortOnLongCost is the cost of sending a short prompt to an engine that
 	// processes long prompts, and longOnShortCost the cost of the reverse. Both
-	// exist because a long prompt delays all streams of its engine.
-	shortOnLongCost = 250 * time.Millisecond
-	longOnShortCost = 1500 * time.Millisecond
+	// exist because a long prompt delays all streams of its engine. With large batches,
+	// fewer engines are reserved for short prompts and each runs more streams, so
+	// that a long one there costs longOnFewShortCost.
+	shortOnLongCost    = 250 * time.Millisecond
+	longOnShortCost    = 1500 * time.Millisecond
+	longOnFewShortCost = 6 * time.Second
 	// memoryFraction is the fraction of an engine's memory that the estimated
 	// usage of running requests may reach.
 	memoryFraction = 0.9
@@ -56,9 +63,10 @@
 type choice struct {
 	// member is nil if no upstream is available.
 	member *member
-	// expected is the expected time until the response starts.
-	expected time.Duration
-	load     projectedLoad
+	// expected is the expected time until the response starts, and modelled that time
+	// without the speed of the upstream.
+	expected, modelled time.Duration
+	load               projectedLoad
 }
 
 func (ch choice) kvSource() string {
@@ -88,10 +96,10 @@
 		if !c.available(now, m, r, load) || !l.waitForBest && !l.allow(m, load.Load) {
 			continue
 		}
-		wait, cost := c.cost(now, m, r, p, load)
+		wait, modelled, cost := c.cost(now, m, r, p, load)
 		if best.member == nil || cost < least || cost == least && m.upstream.ID < best.member.upstream.ID {
 			least = cost
-			best = choice{member: m, expected: wait, load: load}
+			best = choice{member: m, expected: wait, modelled: modelled, load: load}
 		}
 	}
 	if best.member != nil && !l.allow(best.member, best.load.Load) {
@@ -117,8 +125,8 @@
 		}
 		h, cold := rendezvousHash(r.Apart, m.hash), now.Before(m.coldUntil)
 		if best.member == nil || bestCold && !cold || bestCold == cold && h > bestHash {
-			wait, _ := c.cost(now, m, r, p, load)
-			best, bestHash, bestCold = choice{member: m, expected: wait, load: load}, h, cold
+			wait, modelled, _ := c.cost(now, m, r, p, load)
+			best, bestHash, bestCold = choice{member: m, expected: wait, modelled: modelled, load: load}, h, cold
 		}
 	}
 	return best
@@ -181,9 +189,9 @@
 		(load.InFlight == 0 || float64(load.MemoryTokens+load.prefillTokens+load.fetchedTokens+r.OutputTokens) <= memoryFraction*float64(e.MemoryTokens))
 }
 
-// cost returns the expected time until the response starts, and the total cost
-// of the choice expressed as a duration.
-func (c *Core) cost(now time.Time, m *member, r *Request, p preference, load projectedLoad) (wait, cost time.Duration) {
+// cost returns the expected time until the response starts, that time without the speed of
+// the upstream, and the total cost of the choice expressed as a duration.
+func (c *Core) cost(now time.Time, m *member, r *Request, p preference, load projectedLoad) (wait, modelled, cost time.Duration) {
 	if m.service.Engine == nil {
 		wait = plainResponseTime * time.Duration(1+load.InFlight/max(m.upstream.Slots, 1))
 		// Prefer the upstream with the fewest requests among those with free slots.
@@ -195,11 +203,12 @@
 		}
 		cost = engineCost(m, r, p, load)
 	}
+	modelled = wait
 	wait = time.Duration(float64(wait)*m.slowdown) + m.overdue(now)
 	cost += wait + time.Duration(lateFactor*max(float64(wait)-lateThreshold*float64(r.Objective), 0))
 	cost += c.crossingPrice(m, r, p)
 	cost += time.Duration(failureCost * m.failureRate * float64(r.Objective))
-	return wait, cost
+	return wait, modelled, cost
 }
 
 // engineCost returns the cost that the choice of an engine imposes on other
@@ -209,7 +218,11 @@
 	var cost time.Duration
 	if m.upstream.ID != p.first {
 		recomputed := m.cache.missingTokens(sharedParts(r.Prompt)) - load.fetchedTokens
-		cost = recomputeCost*time.Duration(max(recomputed, 0))/1000 + fetchCost*time.Duration(load.fetchedTokens)/1000
+		again, fetched := recomputeCost, fetchCost
+		if p.movable {
+			again, fetched = urgentRecomputeCost, urgentRecomputeCost
+		}
+		cost = again*time.Duration(max(recomputed, 0))/1000 + fetched*time.Duration(load.fetchedTokens)/1000
 	}
 	if m.upstream.ID == p.second {
 		cost = time.Duration(secondChoiceFactor * float64(cost))
@@ -218,11 +231,19 @@
 	case p.short && !m.reservedForShort:
 		cost += shortOnLongCost
 	case !p.short && m.reservedForShort:
-		cost += longOnShortCost
+		cost += longOnShort(m.service.Engine)
 	}
 	return cost
 }
 
+// longOnShort returns the cost of a long prompt on an engine that is reserved for short ones.
+func longOnShort(e *route.Engine) time.Duration {
+	if e.BatchSize > shortEngineSlots {
+		return longOnFewShortCost
+	}
+	return longOnShortCost
+}
+
 // prefillTime estimates how long an engine takes to process the given number of
 // tokens at the end of a prompt whose total length is context tokens.
 func prefillTime(tokens, context int) time.Duration {
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -62,12 +62,22 @@
 	// tiers holds the ranks of each service's recent requests.
 	tiers     map[route.ServiceName]*tiers
 	crossings crossings
+	// table is the published one.
+	table *route.Table
+	// speeds holds the mean latency ratio of each service, peerSpeeds the sum of what
+	// the other gateways observed of upstreams.
+	speeds       map[route.ServiceName]*serviceSpeed
+	peerSpeeds   map[LoadKey]Speed
+	membersByKey map[LoadKey]*member
+	// reweighed are effects that the current message has caused.
+	reweighed []Effect
 }
 
 // peerReport is the last load report of another gateway.
 type peerReport struct {
-	at    time.Time
-	loads map[LoadKey]Load
+	at     time.Time
+	loads  map[LoadKey]Load
+	speeds map[LoadKey]Speed
 }
 
 // waitingRequest is a queued request.
@@ -85,7 +95,9 @@
 	member *member
 	sent   time.Time
 	// expected is the expected time from sent until the response starts.
-	expected      time.Duration
+	expected time.Duration
+	// modelled is that time without the speed of the upstream.
+	modelled      time.Duration
 	prefillTokens int
 	memoryTokens  int
 	started       bool
@@ -110,7 +122,7 @@
 			return []Effect{e}
 		}
 	case ResponseStarted:
-		c.markStarted(now, m.Ticket)
+		c.markStarted(now, m.Ticket, true)
 	case Done:
 		out = c.finish(now, m.Ticket, m.Outcome)
 	case Stated:
@@ -120,12 +132,16 @@
 	case PeerLoads:
 		c.expirePeerReports(now)
 		c.forgetPeer(m.Gateway)
-		c.peerReports[m.Gateway] = peerReport{now, m.Loads}
+		c.peerReports[m.Gateway] = peerReport{now, m.Loads, m.Speeds}
 		c.addPeerLoads(m.Loads, 1)
+		c.addPeerSpeeds(m.Speeds, 1)
+		c.updateSpeeds(m.Speeds)
 		c.crossings.newsAt = now
 	case Membership:
 		c.gateways, c.gatewayRank, c.livePeers = m.Count, m.Rank, m.LivePeers
 	}
+	out = append(out, c.reweighed...)
+	c.reweighed = nil
 	if _, released := m.(Done); released || now.Sub(c.lastScheduled) >= minScheduleInterval {
 		c.lastScheduled = now
 		out = append(out, c.schedule(now)...)
@@ -157,6 +173,8 @@
 		c.peerReports = make(map[string]peerReport)
 		c.peerLoads = make(map[LoadKey]Load)
 		c.tiers = make(map[route.ServiceName]*tiers)
+		c.speeds = make(map[route.ServiceName]*serviceSpeed)
+		c.peerSpeeds = make(map[LoadKey]Speed)
 		c.statements = make(map[route.Incarnation]*incarnationState)
 	}
 }
@@ -164,6 +182,7 @@
 // applyView updates the members from a published view. An upstream that restarted
 // or changed its address is treated as a new one.
 func (c *Core) applyView(now time.Time, v *route.View) {
+	c.table = v.Table
 	present := make(map[route.UpstreamID]bool, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		present[u.ID] = true
@@ -173,19 +192,25 @@
 			c.members[u.ID] = known
 		}
 		known.update(now, u, v)
+		if known.slowdown == 0 {
+			known.slowdown = c.slowdownOf(u.Service)
+		}
 	}
-	for id := range c.members {
+	c.membersByKey = make(map[LoadKey]*member, len(present))
+	for id, m := range c.members {
 		if !present[id] {
 			delete(c.members, id)
+			continue
 		}
+		c.membersByKey[m.key] = m
 	}
 	c.forgetStatements(now)
 	c.indexCrossings()
 	c.reserveShortEngines()
 }
 
-// markStarted records that a response started.
-func (c *Core) markStarted(now time.Time, t Ticket) {
+// markStarted records that a response started, or that an attempt ended without one.
+func (c *Core) markStarted(now time.Time, t Ticket, answered bool) {
 	a := c.assignments[t]
 	if a == nil || a.started {
 		return
@@ -194,7 +219,7 @@
 	a.member.waitingTokens -= a.prefillTokens
 	delete(a.member.unanswered, t)
 	a.member.availability.Answered(now)
-	a.member.recordLatency(now.Sub(a.sent), a.expected)
+	c.recordLatency(now, a, answered)
 }
 
 // finish records the outcome of an attempt.
@@ -207,7 +232,7 @@
 		a.member.waitingTokens -= a.prefillTokens
 		delete(a.member.unanswered, t)
 	} else {
-		c.markStarted(now, t)
+		c.markStarted(now, t, o == Served)
 	}
 	delete(c.assignments, t)
 	c.observePace(now, a, o)
@@ -324,7 +349,7 @@
 
 func (c *Core) assign(now time.Time, w *waitingRequest, ch choice, crossing CrossingReason) {
 	m := ch.member
-	a := &assignment{member: m, sent: now, expected: ch.expected, deadline: w.request.Deadline, crossing: crossing}
+	a := &assignment{member: m, sent: now, expected: ch.expected, modelled: ch.modelled, deadline: w.request.Deadline, crossing: crossing}
 	a.class = capacityClass{w.request.Service, w.request.Rank}
 	a.prefillTokens = ch.load.prefillTokens
 	a.memoryTokens = ch.load.prefillTokens + ch.load.fetchedTokens + w.request.OutputTokens
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -153,7 +153,7 @@
 	c.Handle(start, Done{1, Served})
 	chosenWith := func(livePeers int) route.UpstreamID {
 		c.Handle(start, Membership{Count: peers + 1, LivePeers: livePeers})
-		c.Handle(start, PeerLoads{"10.0.0.2:1", map[LoadKey]Load{LoadKeyOf(busy): {InFlight: 1, WaitingTokens: 800, MemoryTokens: 800}}})
+		c.Handle(start, PeerLoads{Gateway: "10.0.0.2:1", Loads: map[LoadKey]Load{LoadKeyOf(busy): {InFlight: 1, WaitingTokens: 800, MemoryTokens: 800}}})
 		id := enqueue(t, c, start, 2, question(1))
 		c.Handle(start, Done{2, Served})
 		return id
--- a/internal/placement/crossing.go
+++ b/internal/placement/crossing.go
@@ -238,7 +238,7 @@
 			idle = minFirstEventTime + prefillTime(load.prefillTokens, tokens)
 			limit = min(limit, bytesPrice(r, CrossedForPrompt))
 		}
-		wait, _ := c.cost(now, m, r, preference{tokens: tokens}, load)
+		wait, _, _ := c.cost(now, m, r, preference{tokens: tokens}, load)
 		if wait-idle <= limit {
 			return true
 		}
--- a/internal/placement/crossing_fleet_test.go
+++ b/internal/placement/crossing_fleet_test.go
@@ -160,7 +160,7 @@
 	g.fleet.loop.After(reportDelay, func() {
 		for _, o := range g.fleet.gateways {
 			if o != g {
-				o.handle(PeerLoads{g.name, loads})
+				o.handle(PeerLoads{Gateway: g.name, Loads: loads})
 			}
 		}
 	})
--- a/internal/placement/crossing_test.go
+++ b/internal/placement/crossing_test.go
@@ -190,7 +190,7 @@
 }
 
 func tellPlain(c *Core, now time.Time, inA, inB int) {
-	c.Handle(now, PeerLoads{"peer", map[LoadKey]Load{LoadKeyOf("u-a"): {InFlight: inA}, LoadKeyOf("u-b"): {InFlight: inB}}})
+	c.Handle(now, PeerLoads{Gateway: "peer", Loads: map[LoadKey]Load{LoadKeyOf("u-a"): {InFlight: inA}, LoadKeyOf("u-b"): {InFlight: inB}}})
 }
 
 // askPlain enqueues requests in each of ten steps, while other gateways tell the same loads,
@@ -323,7 +323,7 @@
 // engine in theirs has room.
 func TestPreferenceByPromptStays(t *testing.T) {
 	c := newCore(engines(12), 5)
-	c.Handle(start, PeerLoads{"peer", nil})
+	c.Handle(start, PeerLoads{Gateway: "peer"})
 	got := map[string]int{}
 	for n := range Ticket(60) {
 		for kind, r := range map[string]Request{"long": draft(PartID(n), PartID(n)), "short": question(PartID(n))} {
@@ -350,7 +350,7 @@
 		v.Upstreams[i].DataCentre = "b"
 	}
 	c := newCore(v, 5)
-	c.Handle(start, PeerLoads{"peer", nil})
+	c.Handle(start, PeerLoads{Gateway: "peer"})
 	for n := range Ticket(60) {
 		for _, e := range c.Handle(start, Enqueue{n, question(PartID(n))}) {
 			assert.Equal(t, e.(Grant).Crossing, CrossedWithoutUpstream)
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -10,9 +10,13 @@
 const (
 	// ewmaWeight is the weight of a new observation in a moving average.
 	ewmaWeight = 0.2
-	// maxSlowdown and minSlowdown clamp member.slowdown and each observed ratio of
-	// an upstream's latency to the expected latency.
-	maxSlowdown, minSlowdown = 12.0, 0.4
+	// maxSlowdown and minSlowdown clamp member.slowdown of engines, maxSlowdown and
+	// minPlainSlowdown that of plain upstreams.
+	maxSlowdown, minSlowdown, minPlainSlowdown = 12.0, 0.1, 0.4
+	// maxLatencyRatio clamps each observed ratio of an engine's latency to the modelled
+	// one. An answer that begins sooner than the inverse is an error of the engine,
+	// and says nothing about its speed.
+	maxLatencyRatio = 16.0
 	// initialBackoff and maxBackoff bound how long an upstream is avoided after it
 	// could not be reached, broke the connection or did not respond in time. The
 	// backoff doubles with each consecutive failure.
@@ -47,9 +51,15 @@
 	unanswered map[Ticket]*assignment
 	cache      *prefixCache
 
-	// slowdown is the moving average of the ratio of the actual to the expected
-	// time until a response starts.
+	// slowdown is the estimated ratio of the actual to the modelled time until a response
+	// starts. That of engines is from the observations of all gateways.
 	slowdown float64
+	// speed is what this gateway observed of it, and speedAt when it last did.
+	speed   Speed
+	speedAt time.Time
+	// weight is the share of prompt parts that the engine is to hold, relative to the
+	// mean engine of its service, and logWeight its logarithm.
+	weight, logWeight float64
 	// failureRate is the moving average of failures, from 0 to 1.
 	failureRate         float64
 	consecutiveFailures int
@@ -69,7 +79,7 @@
 	fresh := m.unanswered == nil
 	if fresh {
 		m.unanswered = make(map[Ticket]*assignment)
-		m.slowdown = 1
+		m.weight = 1
 	}
 	wasOut := m.dataCentreOut
 	m.dataCentreOut = v.DataCentresOut[u.DataCentre]
@@ -96,14 +106,15 @@
 	}
 }
 
-// recordLatency updates the slowdown with the time until a response started.
-func (m *member) recordLatency(took, expected time.Duration) {
+// recordPlainLatency updates the slowdown of a plain upstream with the time until a response
+// started. There are few of them, so that each gateway sees enough of each.
+func (m *member) recordPlainLatency(took, expected time.Duration) {
 	if expected <= 0 {
 		return
 	}
-	ratio := min(max(float64(took)/float64(expected), minSlowdown), maxSlowdown)
+	ratio := min(max(float64(took)/float64(expected), minPlainSlowdown), maxSlowdown)
 	m.slowdown += ewmaWeight * (m.slowdown*ratio - m.slowdown)
-	m.slowdown = min(max(m.slowdown, minSlowdown), maxSlowdown)
+	m.slowdown = min(max(m.slowdown, minPlainSlowdown), maxSlowdown)
 }
 
 // recordOutcome updates the failure statistics with the outcome of an attempt. It
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -94,10 +94,13 @@
 	RequestID string
 }
 
-// PeerLoads reports the load that another gateway has in flight per upstream.
+// PeerLoads reports the load that another gateway has in flight per upstream, and how fast
+// it found them.
 type PeerLoads struct {
 	Gateway string
 	Loads   map[LoadKey]Load
+	// Speeds is what the gateway observed of the speed of upstreams.
+	Speeds map[LoadKey]Speed
 }
 
 // LoadKey identifies an upstream in the load reports between gateways. It is a hash
@@ -221,6 +224,15 @@
 	RequestID string
 }
 
+// Weighed reports that the weight of an engine has changed, by which it holds prompt parts.
+type Weighed struct {
+	Upstream route.UpstreamID
+	// Weight is relative to the mean engine of the service, and Slowdown the ratio of the
+	// actual to the modelled latency.
+	Weight, Slowdown float64
+}
+
+func (Weighed) effect() {}
 func (Leaves) effect()  {}
 func (Paused) effect()  {}
 func (Grant) effect()   {}
--- a/internal/placement/peer_load.go
+++ b/internal/placement/peer_load.go
@@ -17,6 +17,7 @@
 // forgetPeer removes the report of a gateway.
 func (c *Core) forgetPeer(gateway string) {
 	c.addPeerLoads(c.peerReports[gateway].loads, -1)
+	c.addPeerSpeeds(c.peerReports[gateway].speeds, -1)
 	delete(c.peerReports, gateway)
 }
 
--- a/internal/placement/preference.go
+++ b/internal/placement/preference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,10 +15,14 @@
 	// maxShortPromptTokens is the maximum length of a prompt that an engine can
 	// process in a few steps, without a noticeable pause in its other streams.
 	maxShortPromptTokens = 4096
-	// shortEngineFraction is the fraction of a data centre's engines that is
-	// reserved for short prompts. With fewer engines, a crash of one of them would
-	// break more streams.
-	shortEngineFraction = 0.4
+	// maxShortEngineFraction is the fraction of a data centre's engines that is
+	// reserved for short prompts if their batches have up to shortEngineSlots slots. With
+	// fewer engines, a crash of one of them would break more streams. Engines with
+	// larger batches run more streams each, so fewer are reserved, down to
+	// minShortEngineFraction.
+	maxShortEngineFraction, minShortEngineFraction = 0.4, 0.25
+	// shortEngineSlots is in slots of a batch.
+	shortEngineSlots = 64
 )
 
 // preference holds the preferred engines for a prompt. First and second choice are
@@ -29,6 +34,9 @@
 	// maxShortPromptTokens.
 	tokens int
 	short  bool
+	// movable reports that the request should rather move to another engine than wait
+	// behind prompts of the least urgent tier.
+	movable bool
 	// holder is the engine that, as far as this gateway knows, has the most tokens
 	// of the shared parts cached, or nil. uncachedTokens is the number of prompt
 	// tokens that the holder itself would have to process.
@@ -46,6 +54,7 @@
 	if len(r.Prompt) == 0 {
 		return p
 	}
+	p.movable = c.tiers[r.Service].moreUrgentThanOthers(r.Rank) && c.hasLargeBatches(r.Service)
 	c.rankEngines(now, r, &p)
 	c.findHolder(now, r, &p)
 	return p
@@ -92,13 +101,13 @@
 func (c *Core) rankEngines(now time.Time, r *Request, p *preference) {
 	// The second to last part is the most specific part that requests share.
 	part := r.Prompt[max(len(r.Prompt)-2, 0)].ID
-	var firstHash, secondHash uint64
+	var firstHash, secondHash float64
 	for _, m := range c.members {
 		id := m.upstream.ID
 		if !m.eligible(r.Service) || m.resting(now) || now.Before(m.coldUntil) || m.reservedForShort != p.short || p.short && m.upstream.DataCentre != c.DataCentre {
 			continue
 		}
-		switch h := rendezvousHash(part, m.hash); {
+		switch h := m.weigh(rendezvousHash(part, m.hash)); {
 		case p.first == "" || h > firstHash:
 			p.second, secondHash = p.first, firstHash
 			p.first, firstHash = id, h
@@ -117,6 +126,29 @@
 	return h ^ h>>29
 }
 
+// weigh returns the rank of the engine for a prompt part from the hash of both. An engine
+// has the highest rank for a share of all parts that is proportional to its weight.
+func (m *member) weigh(hash uint64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -m.weight / math.Log(uniform)
+}
+
+// hasLargeBatches reports whether the engines of a service run so many requests each that
+// those of different tiers share them.
+func (c *Core) hasLargeBatches(s route.ServiceName) bool {
+	if c.table == nil {
+		return false
+	}
+	service, _ := c.table.ServiceByName(s)
+	return service != nil && service.Engine != nil && service.Engine.BatchSize > shortEngineSlots
+}
+
+// shortEngineFraction returns the fraction of engines that is reserved for short prompts.
+func shortEngineFraction(e *route.Engine) float64 {
+	fraction := maxShortEngineFraction * shortEngineSlots / float64(max(e.BatchSize, 1))
+	return min(max(fraction, minShortEngineFraction), maxShortEngineFraction)
+}
+
 // reserveShortEngines reserves engines for short prompts: shortEngineFraction of
 // the engines of a service in each data centre, and at least one if there are two
 // or more.
@@ -138,7 +170,7 @@
 			continue
 		}
 		slices.SortFunc(group, func(a, b *member) int { return cmp.Compare(reservationHash(a), reservationHash(b)) })
-		for _, m := range group[:max(int(shortEngineFraction*float64(len(group))), 1)] {
+		for _, m := range group[:max(int(shortEngineFraction(group[0].service.Engine)*float64(len(group))), 1)] {
 			m.reservedForShort = true
 		}
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -63,6 +63,8 @@
 			sched.Log.Write(event.UpstreamLeaves, "upstream", e.Upstream, "source", "answer", "request_id", e.RequestID)
 		case Paused:
 			sched.Log.Write(event.UpstreamPaused, "upstream", e.Upstream, "for_ms", e.For.Milliseconds(), "request_id", e.RequestID)
+		case Weighed:
+			sched.Log.Write(event.EngineWeighed, "upstream", e.Upstream, "weight", e.Weight, "slowdown", e.Slowdown)
 		case Avoided:
 			sched.Log.Write(event.UpstreamAvoided, "upstream", e.Upstream, "for_ms", e.For.Milliseconds(), "outcome", e.Outcome)
 		}
@@ -178,6 +180,14 @@
 	return sched.Core.CrossingShares()
 }
 
+// Speeds returns what this gateway has observed of the speed of upstreams lately, to be
+// told to the other gateways.
+func (sched *Scheduler) Speeds() map[LoadKey]Speed {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.Core.Speeds(time.Now())
+}
+
 // Loads returns the load that this gateway has in flight per upstream, to be
 // reported to the other gateways.
 func (sched *Scheduler) Loads() map[LoadKey]Load {
--- a/internal/roster/exchange_test.go
+++ b/internal/roster/exchange_test.go
@@ -31,6 +31,15 @@
 	return loads
 }
 
+// Speeds holds the engines of 5 s of the requests, 6.6 a second at the design size.
+func (s fakeScheduler) Speeds() map[placement.LoadKey]placement.Speed {
+	speeds := make(map[placement.LoadKey]placement.Speed)
+	for n := range min(s, 33) {
+		speeds[placement.LoadKeyOf(route.UpstreamID(fmt.Sprint(n)))] = placement.Speed{Relative: -0.9, Observations: 3}
+	}
+	return speeds
+}
+
 // emptyCatalog is a catalog without any state.
 type emptyCatalog struct{}
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,6 +78,8 @@
 type Scheduler interface {
 	Tell(placement.Message)
 	Loads() map[placement.LoadKey]placement.Load
+	// Speeds returns what this gateway has observed of the speed of upstreams lately.
+	Speeds() map[placement.LoadKey]placement.Speed
 }
 
 // Catalog receives the store revisions that other gateways know, and provides the
@@ -217,6 +219,7 @@
 		Revisions:   encodeRevisions(t.Catalog.Revisions()),
 		StoreAway:   t.Catalog.StoreUnreachable(),
 		Loads:       encodeLoads(t.Scheduler.Loads()),
+		Speeds:      encodeSpeeds(t.Scheduler.Speeds()),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -272,7 +275,7 @@
 	if newlyHeard {
 		t.Log.Write(event.GatewayHeard, "gateway", s.Address, "data_centre", s.DataCentre, "incarnation", s.Incarnation)
 	}
-	t.Scheduler.Tell(placement.PeerLoads{Gateway: s.Address, Loads: decodeLoads(s.Loads)})
+	t.Scheduler.Tell(placement.PeerLoads{Gateway: s.Address, Loads: decodeLoads(s.Loads), Speeds: decodeSpeeds(s.Speeds)})
 	t.Suspects.Merge(now, s.Suspicions)
 	t.compareDigests(now, p, s.SuspicionDigest)
 	t.Catalog.ObserveRevisions(context.WithoutCancel(ctx), s.Address, decodeRevisions(s.Revisions))
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -61,9 +61,11 @@
 // exchange passes the loads of two gateways to each other.
 func (g *gateway) exchange(other *gateway) {
 	mine, theirs := g.core.Loads(), other.core.Loads()
+	now := g.sim.loop.Now
+	mySpeeds, theirSpeeds := g.core.Speeds(now), other.core.Speeds(now)
 	g.sim.loop.After(g.sim.delay(g.core.DataCentre, other.core.DataCentre), func() {
-		other.handle(placement.PeerLoads{Gateway: g.name, Loads: mine})
-		g.handle(placement.PeerLoads{Gateway: other.name, Loads: theirs})
+		other.handle(placement.PeerLoads{Gateway: g.name, Loads: mine, Speeds: mySpeeds})
+		g.handle(placement.PeerLoads{Gateway: other.name, Loads: theirs, Speeds: theirSpeeds})
 	})
 }
 
--- a/internal/simulation/sites.go
+++ b/internal/simulation/sites.go
@@ -78,3 +78,39 @@
 		},
 	}
 }
+
+// Donations returns a deployment whose engines differ in speed by a factor of 2.4, see
+// Laudjalopp.
+func Donations(name string, engines, gateways int, reviews, replies, chats float64) Site {
+	return Site{
+		Name: name, DataCentres: []route.DataCentre{"a", "b", "c", "d"},
+		Gateways: gateways, Engines: engines, CrossDataCentre: 500 * time.Microsecond,
+		Retry: RetryBounds{Ratio: 0.2, Extra: 86},
+		Engine: Engine{
+			BatchSize: 128, MemoryTokens: 1_035_958, QueueSize: 268, EventTokens: 7,
+			Step: 3550 * time.Microsecond, StepPerRequest: 46 * time.Microsecond, StepPerContext: 1150 * time.Nanosecond,
+			PrefillRate: 157_000, PairTime: 109 * time.Microsecond, ChunkTokens: 4096, FirstToken: 26 * ms,
+			TokenBytes: 18_432, LinkBitsPerSecond: 88e9, Speeds: []float64{1 / 0.7, 1 / 0.7, 1 / 1.7},
+		},
+		Kinds: []Kind{
+			{
+				Name: "case-review", Rate: reviews, Rank: 2, Objective: 1500 * ms, Deadline: 8 * time.Second,
+				Pause: 1000 * ms, Patience: 8 * time.Second, Worth: 1.3, LateWorth: 0.39, Resumable: true, MaxAttempts: 2,
+				Events: Size{17.1, 0.8, 68.4}, Own: Size{3720, 0.9, 53_200},
+				Shared: []SharedPart{{Size{13_300, 0.6, 39_900}, 605 * engines / 43, 0.3}},
+			},
+			{
+				Name: "donor-reply", Rate: replies, Rank: 1, Objective: 400 * ms, Deadline: 4 * time.Second,
+				Pause: 400 * ms, Patience: 3200 * ms, Worth: 2, LateWorth: 0.6, MaxAttempts: 1,
+				Events: Size{7.44, 0.8, 29.8}, Own: Size{2890, 0.8, 39_600},
+				Shared: []SharedPart{{Size{2520, 0.4, 6290}, 4, 0}, {Size{3780, 0.6, 11_300}, 1017 * engines / 43, 0.3}},
+			},
+			{
+				Name: "counter-chat", Rate: chats, Rank: 0, Objective: 300 * ms, Deadline: 10 * time.Second,
+				Pause: 250 * ms, Patience: 2000 * ms, Worth: 2.3, LateWorth: 0.22, Resumable: true, MaxAttempts: 2,
+				Events: Size{24.6, 0.8, 85.9}, Own: Size{1110, 0.8, 3790},
+				Shared: []SharedPart{{Size{210, 0.4, 524}, 40, 0}, {Size{140, 0.6, 419}, 652 * engines / 43, 0.3}},
+			},
+		},
+	}
+}
