Suspect prompt parts whose answers end just before a crash

Cause: a complete answer cleared the parts of its prompt at once, and a crash took as candidates only the parts of requests still in flight.

Change: an answer counts 0.7 s after its end, and never if its upstream crashes within 0.4 s or refuses connections; its parts then are candidates of the crash. Until then the process that got it takes parts as cleared whose requests ran like all others. A part on probation that may have caused five crashes runs as a trial, one request every 10 s at one gateway; others are refused as not run (4017). A trial goes on after an attempt that reached no upstream.

Tests: TestAnswersBeforeCrashes, TestAnswersCountBeforeTheySettle, TestAnswerAndCrashAtDifferentProcesses and three cases of TestFleetLearnsWhichPartIsBad are red if answers count at once (66 and 435 of 75 and 501 arrivals late), TestRequestsOnProbationRunOneAtATime and two cases are red without the bound (20 late arrivals, 3 allowed). In TestFindings, two traits that were "apart" after 20 crashes are now "one at a time", which describe tells apart.

Gateways and sidecars of the product's own interface clear at once, as before.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/availability"
@@ -86,7 +87,8 @@
 }
 
 // informSuspects reports what the end of the attempt says of the request and its upstream.
-// Only a complete answer speaks for a request: an upstream may crash after it has begun one.
+// Only a complete answer speaks for a request, and only if the upstream runs on: it may crash
+// after it has begun one, or just after its end.
 func (a *attempt) informSuspects(outcome placement.Outcome) {
 	suspects, o, now := a.gateway.Suspects, a.call.identity, time.Now()
 	instance := instanceOf(a.grant.Upstream)
@@ -96,7 +98,11 @@
 	case placement.Served:
 		suspects.Answered(now, instance, a.started)
 		if a.exchange.Response.StatusCode < http.StatusMultipleChoices {
-			suspects.Completed(now, o)
+			suspects.CompletedAt(now, instance, o)
+		}
+	case placement.Unreached:
+		if errors.Is(a.exchange.Err, syscall.ECONNREFUSED) {
+			suspects.Refused(now, instance)
 		}
 	}
 }
--- a/internal/direct/fixture_test.go
+++ b/internal/direct/fixture_test.go
@@ -89,11 +89,12 @@
 	return suspect.Verdict{}, nil
 }
 
-func (fakeSuspects) MayRun(time.Time, *wire.Offer) bool               { return true }
-func (fakeSuspects) Died(time.Time, fleet.Incarnation, []*wire.Offer) {}
-func (fakeSuspects) Completed(time.Time, *wire.Offer)                 {}
-func (fakeSuspects) Answered(time.Time, fleet.Incarnation, time.Time) {}
-func (fakeSuspects) Stats(time.Time) suspect.Stats                    { return suspect.Stats{} }
+func (fakeSuspects) MayRun(time.Time, *wire.Offer) bool                    { return true }
+func (fakeSuspects) Died(time.Time, fleet.Incarnation, []*wire.Offer)      {}
+func (fakeSuspects) CompletedAt(time.Time, fleet.Incarnation, *wire.Offer) {}
+func (fakeSuspects) Refused(time.Time, fleet.Incarnation)                  {}
+func (fakeSuspects) Answered(time.Time, fleet.Incarnation, time.Time)      {}
+func (fakeSuspects) Stats(time.Time) suspect.Stats                         { return suspect.Stats{} }
 
 // fixture is a gateway under test with scripted upstreams.
 type fixture struct {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -33,8 +33,10 @@
 	MayRun(now time.Time, o *wire.Offer) bool
 	// Died records the requests that were in flight when an upstream died.
 	Died(now time.Time, instance fleet.Incarnation, inFlight []*wire.Offer)
-	// Completed records that a request had a complete answer.
-	Completed(now time.Time, o *wire.Offer)
+	// CompletedAt records that an upstream gave a request a complete answer.
+	CompletedAt(now time.Time, instance fleet.Incarnation, o *wire.Offer)
+	// Refused records that an upstream refuses connections.
+	Refused(now time.Time, instance fleet.Incarnation)
 	// Answered records that an upstream completed an answer to a request that was sent
 	// to it at a time.
 	Answered(now time.Time, instance fleet.Incarnation, sent time.Time)
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -156,9 +156,13 @@
 }
 
 // checkSuspect notes whether the request runs apart from others, and returns an error if it
-// is held back. A trial is one attempt, and is held back like all others after it.
+// is held back. A trial is one attempt that reaches an upstream, and is held back like all
+// others after it.
 func (p *proxiedRequest) checkSuspect() error {
 	o := p.call.identity
+	if o.Trial && p.reachedAttempts() == 0 {
+		return nil
+	}
 	o.Trial, o.Tried = false, nil
 	v, err := p.gateway.Suspects.Check(time.Now(), o)
 	if err != nil {
--- a/internal/suspect/bench_test.go
+++ b/internal/suspect/bench_test.go
@@ -19,7 +19,7 @@
 			traits = append(traits, Trait(i*8+n))
 		}
 		c.Report(start.Add(time.Duration(i)*time.Millisecond), fleet.Incarnation(fmt.Sprintf("i-%010x/%d", i, start.UnixMilli())), traits, nil)
-		c.Completed(start.Add(time.Second), traits[:8])
+		c.Completed(start.Add(time.Second), "", traits[:8], nil)
 	}
 	return c
 }
@@ -41,7 +41,7 @@
 	})
 	b.Run("completed", func(b *testing.B) {
 		for range b.N {
-			c.Completed(now, []Trait{1 << 40, 1<<40 + 1})
+			c.Completed(now, "", []Trait{1 << 40, 1<<40 + 1}, nil)
 		}
 	})
 }
@@ -53,7 +53,7 @@
 	runtime.ReadMemStats(&before)
 	c := fullCrashes()
 	for i := range Trait(2 * maxRecentTraits) {
-		c.Completed(start.Add(time.Second), []Trait{1<<50 + i})
+		c.Completed(start.Add(time.Second), "", []Trait{1<<50 + i}, nil)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/suspect/core.go
+++ b/internal/suspect/core.go
@@ -15,8 +15,9 @@
 //
 // # Traits
 //
-// Crashes records what the requests had in common that were in flight at each crash. A
-// request that completes clears its traits. Requests with a trait that remains run apart
+// Crashes records what the requests had in common that were in flight at each crash, or had
+// completed just before it. A request that completes at an upstream that runs on clears its
+// traits. Requests with a trait that remains run apart
 // from others, and a trait that explains two series of crashes is held back.
 //
 // # Usage
@@ -27,7 +28,7 @@
 //	// refuse: result.Suspect; solo: only at suspect.Place(f, vms)
 //	v := c.Crashes.Verdict(now, traits, nil)
 //	// v.Refuse: result.Suspect; v.Tried: only at the place for the first of them
-//	c.Handle(now, suspect.Completed{Fingerprint: f, Traits: traits})
+//	c.Handle(now, suspect.Completed{Fingerprint: f, Incarnation: id, Traits: traits})
 //	peer.Handle(now, suspect.Received{Suspicions: c.Snapshot(now)})
 package suspect
 
@@ -126,6 +127,7 @@
 func (c *Core) Handle(now time.Time, m Message) []Effect {
 	c.setDefaults()
 	c.markChanges(now)
+	c.Crashes.settle(now)
 	var out []Effect
 	switch m := m.(type) {
 	case Died:
@@ -142,8 +144,9 @@
 			out = append(out, c.mergeReceived(now, s)...)
 		}
 	case Completed:
-		out = c.clear(now, m.Fingerprint)
-		c.Crashes.Completed(now, m.Traits)
+		out = append(c.clear(now, m.Fingerprint), share(c.Crashes.Completed(now, m.Incarnation, m.Traits, m.Tried))...)
+	case Refused:
+		out = share(c.Crashes.Refused(now, m.Incarnation))
 	case Answered:
 		c.Crashes.Answered(now, m.Incarnation, m.Sent)
 	case Ticked:
--- a/internal/suspect/crashes.go
+++ b/internal/suspect/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,7 @@
 
 	crashes   map[fleet.Incarnation]*crash
 	completed recentTraits
+	unsettled unsettledAnswers
 	// suspected counts the crashes of which a trait has not been cleared.
 	suspected map[Trait]int
 	changes   *changeCounter
@@ -100,7 +102,7 @@
 // whether that makes anything more suspect.
 func (c *Crashes) Report(now time.Time, i fleet.Incarnation, traits, tried []Trait) (urgent bool) {
 	if len(traits) == 0 {
-		return false
+		return c.Refused(now, i)
 	}
 	c.setDefaults()
 	e := &crash{incarnation: c.breakOf(now, i), at: now, traits: make(map[Trait]*candidate, len(traits))}
@@ -110,23 +112,6 @@
 	return c.merge(e)
 }
 
-// Completed records that a request with the traits had a complete answer, which clears
-// them.
-func (c *Crashes) Completed(now time.Time, traits []Trait) {
-	c.setDefaults()
-	for _, t := range traits {
-		c.completed.add(now, t)
-		if c.suspected[t] == 0 {
-			continue
-		}
-		for _, e := range c.crashes {
-			if k := e.traits[t]; k != nil && !k.cleared && !e.at.After(now) {
-				c.update(e, t, candidate{cleared: true})
-			}
-		}
-	}
-}
-
 // Answered records that an incarnation has completed an answer to a request that was sent
 // at a time. If that was before its supposed crash, and the answer ended well after it, the
 // incarnation has only closed a connection.
@@ -156,12 +141,21 @@
 	return name
 }
 
+// breakMark separates an incarnation from the number of the time that it broke off answers.
+const breakMark = "#"
+
 // breakName returns the name of the n-th time that an incarnation broke off answers.
 func breakName(i fleet.Incarnation, n int) fleet.Incarnation {
 	if n == 0 {
 		return i
 	}
-	return fleet.Incarnation(fmt.Sprintf("%s#%d", i, n+1))
+	return fleet.Incarnation(fmt.Sprint(i, breakMark, n+1))
+}
+
+// isBreakOf reports whether a name is one of those under which breaks of an incarnation are
+// recorded.
+func isBreakOf(name, i fleet.Incarnation) bool {
+	return name == i || strings.HasPrefix(string(name), string(i)+breakMark)
 }
 
 // merge adds what is known of a crash to what is held of it: the earlier time, the latest
@@ -205,6 +199,7 @@
 			urgent = true
 		}
 	}
+	urgent = c.implicate(e) || urgent
 	c.evict()
 	return urgent
 }
--- a/internal/suspect/findings.go
+++ b/internal/suspect/findings.go
@@ -34,12 +34,19 @@
 	series  int
 }
 
+// probation is what is known of a trait whose requests run apart from others.
+type probation struct {
+	// series is the number of series of crashes that the trait may have caused, and crashes
+	// are the crashes, from the first to the last.
+	series  int
+	crashes []*crash
+}
+
 // findings is what follows from the crashes.
 type findings struct {
 	held []*finding
-	// probation holds the traits whose requests run apart from others, with the number
-	// of series that they may have caused.
-	probation map[Trait]int
+	// probation holds the traits whose requests run apart from others.
+	probation map[Trait]*probation
 	computed  time.Time
 	// validUntil is when the first of the crashes stops to count.
 	validUntil time.Time
@@ -64,10 +71,11 @@
 
 // assess returns the findings, which it computes again after a change.
 func (c *Crashes) assess(now time.Time) *findings {
+	c.settle(now)
 	if f := c.findings; f != nil && now.Before(f.validUntil) && (!c.stale || now.Sub(f.computed) < f.cost) {
 		return f
 	}
-	f := &findings{probation: make(map[Trait]int), computed: now, validUntil: now.Add(c.Quarantine)}
+	f := &findings{probation: make(map[Trait]*probation), computed: now, validUntil: now.Add(c.Quarantine)}
 	open := c.collectEvidence(now, f)
 	for {
 		best := strongestFinding(open)
@@ -78,13 +86,15 @@
 		open = slices.DeleteFunc(open, func(e *evidence) bool { return slices.Contains(best.crashes, e.crash) })
 		if len(best.traits) > 1 {
 			for _, t := range best.traits {
-				f.probation[t] = best.series
+				f.probation[t] = &probation{best.series, best.crashes}
 			}
 		}
 	}
 	for t, s := range countSeries(open) {
 		if s.series >= probationSeries(s) {
-			f.probation[t] = max(f.probation[t], s.series)
+			if p := f.probation[t]; p == nil || p.series < s.series {
+				f.probation[t] = &probation{s.series, crashesAt(open, s.crashes)}
+			}
 		}
 	}
 	c.findings, c.stale = f, false
@@ -103,7 +113,7 @@
 		}
 		f.cost += assessTimePerTrait * time.Duration(len(e.traits))
 		v := &evidence{crash: e}
-		v.traits, v.trusted = e.suspects()
+		v.traits, v.trusted = c.suspectsOf(e)
 		if len(v.traits) == 0 {
 			continue
 		}
@@ -119,14 +129,14 @@
 	return out
 }
 
-// suspects returns the traits that may have caused the crash, sorted, and whether they
+// suspectsOf returns the traits that may have caused a crash, sorted, and whether they
 // are trusted.
-func (e *crash) suspects() (traits []Trait, trusted bool) {
+func (c *Crashes) suspectsOf(e *crash) (traits []Trait, trusted bool) {
 	var spoken []Trait
 	for t, k := range e.traits {
-		switch {
-		case k.cleared:
-		case k.trusted:
+		switch cleared, spokenFor := c.standing(e, t, k); {
+		case cleared:
+		case spokenFor:
 			spoken = append(spoken, t)
 		default:
 			traits = append(traits, t)
@@ -202,12 +212,19 @@
 		}
 	}
 	slices.Sort(f.traits)
-	for _, i := range best.crashes {
-		f.crashes = append(f.crashes, open[i].crash)
-	}
+	f.crashes = crashesAt(open, best.crashes)
 	return f
 }
 
+// crashesAt returns the crashes of the evidence with the given indices.
+func crashesAt(open []*evidence, indices []int) []*crash {
+	out := make([]*crash, 0, len(indices))
+	for _, i := range indices {
+		out = append(out, open[i].crash)
+	}
+	return out
+}
+
 // last returns the latest crash of the finding.
 func (f *finding) last() *crash { return f.crashes[len(f.crashes)-1] }
 
@@ -218,9 +235,11 @@
 	Incarnations []fleet.Incarnation
 }
 
-func (f *finding) blame() Blame {
-	b := Blame{Traits: f.traits}
-	for _, e := range f.crashes {
+func (f *finding) blame() Blame { return blameOf(f.traits, f.crashes) }
+
+func blameOf(traits []Trait, crashes []*crash) Blame {
+	b := Blame{Traits: traits}
+	for _, e := range crashes {
 		b.Incarnations = append(b.Incarnations, e.incarnation)
 	}
 	return b
--- a/internal/suspect/findings_test.go
+++ b/internal/suspect/findings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 // newCrashes returns a Crashes to which requests with the given traits have completed.
 func newCrashes(completed ...Trait) *Crashes {
 	c := &Crashes{}
-	c.Completed(start.Add(-time.Second), completed)
+	c.Completed(start.Add(-time.Second), "", completed, nil)
 	return c
 }
 
@@ -25,12 +26,17 @@
 // describe returns what is held back and which of the traits are on probation.
 func describe(c *Crashes, now time.Time, traits ...Trait) string {
 	var out []string
+	var held []Trait
 	for _, b := range c.Held(now) {
 		out = append(out, "held "+TraitsText(b.Traits))
+		held = append(held, b.Traits...)
 	}
 	for _, t := range traits {
-		if v := c.Verdict(now, []Trait{t}, nil); len(v.Tried) > 0 && !v.Trial {
+		switch v := c.Verdict(now, []Trait{t}, nil); {
+		case len(v.Tried) > 0 && !v.Trial:
 			out = append(out, "apart "+TraitsText(v.Tried))
+		case v.Trial && !slices.Contains(held, t):
+			out = append(out, "one at a time "+TraitsText(v.Tried))
 		}
 	}
 	return strings.Join(out, "; ")
@@ -62,7 +68,7 @@
 		{"a companion that completes is cleared", func(c *Crashes) {
 			c.Report(seconds(0), "u1", []Trait{2, bad}, nil)
 			c.Report(seconds(1), "u2", []Trait{2, bad}, nil)
-			c.Completed(seconds(1.5), []Trait{2})
+			c.Completed(seconds(1.5), "", []Trait{2}, nil)
 		}, "held b"},
 		{"two bad traits apart", func(c *Crashes) {
 			c.Report(seconds(0), "u1", []Trait{1, bad}, nil)
@@ -74,7 +80,7 @@
 			for i := range 20 {
 				c.Report(seconds(0.01*float64(i)), fleet.Incarnation(fmt.Sprint(i)), []Trait{1, 2, 3}, nil)
 			}
-		}, "apart 2; apart 3"},
+		}, "one at a time 2; one at a time 3"},
 		{"what had completed shortly before stays free after one series of crashes", func(c *Crashes) {
 			for i := range 20 {
 				c.Report(seconds(0.01*float64(i)), fleet.Incarnation(fmt.Sprint(i)), []Trait{1}, nil)
@@ -88,7 +94,7 @@
 		{"what completes between crashes stays free", func(c *Crashes) {
 			for i := range 9 {
 				c.Report(seconds(float64(i)), fleet.Incarnation(fmt.Sprint(i)), []Trait{2}, nil)
-				c.Completed(seconds(float64(i)+0.5), []Trait{2})
+				c.Completed(seconds(float64(i)+0.5), "", []Trait{2}, nil)
 			}
 		}, ""},
 		{"a request apart counts as a crash of its own", func(c *Crashes) {
@@ -159,7 +165,7 @@
 	c.Report(seconds(1), "u2", []Trait{7}, nil)
 	assert.Assert(t, c.Verdict(seconds(2), []Trait{7}, nil).Refuse)
 	assert.Assert(t, c.Verdict(seconds(6), []Trait{7}, nil).Trial)
-	c.Completed(seconds(6.5), []Trait{7})
+	c.Completed(seconds(6.5), "", []Trait{7}, nil)
 	assert.DeepEqual(t, c.Verdict(seconds(7), []Trait{7}, nil), Verdict{})
 }
 
@@ -261,7 +267,7 @@
 	c.Report(seconds(200), "large", many, nil)
 	assert.Equal(t, len(c.crashes["large"].traits), maxCrashTraits)
 	for i := range Trait(10 * maxRecentTraits) {
-		c.Completed(seconds(201), []Trait{i})
+		c.Completed(seconds(201), "", []Trait{i}, nil)
 	}
 	assert.Assert(t, len(c.completed.newer)+len(c.completed.older) <= 2*maxRecentTraits)
 	c.Expire(seconds(201).Add(DefaultQuarantine + expiredRetention))
--- a/internal/suspect/fleet_test.go
+++ b/internal/suspect/fleet_test.go
@@ -35,6 +35,12 @@
 	calls int
 	// soundRate and badRate are in requests a second.
 	soundRate, badRate float64
+	// badAnswered reports that requests with the bad part get their whole answer, and the
+	// upstream crashes just after.
+	badAnswered bool
+	// batches are the times at which batchSize requests with the bad part come at once.
+	batches   []time.Duration
+	batchSize int
 	// answerTime is how long a sound answer takes.
 	answerTime time.Duration
 	// parts is the number of parts at the second place, drawn with a power law.
@@ -104,6 +110,13 @@
 	}
 	f.generate(f.soundRate, 0, func() []Trait { return []Trait{f.firstPart(), f.secondPart()} })
 	f.generate(f.badRate, 5*time.Second, func() []Trait { return []Trait{f.firstPart(), badTrait} })
+	for _, at := range f.batches {
+		f.loop.After(at, func() {
+			for range f.batchSize {
+				f.send([]Trait{f.firstPart(), badTrait})
+			}
+		})
+	}
 	if f.outageShare > 0 {
 		f.loop.After(f.outageAt, func() {
 			for _, u := range f.up[:int(f.outageShare*float64(len(f.up)))] {
@@ -163,26 +176,35 @@
 	if u == nil {
 		return
 	}
-	r := &simulatedRequest{gateway: g, upstream: u, traits: traits, tried: v.Tried, sent: now, instance: fleet.Incarnation(fmt.Sprint(u.name, "/", u.runs))}
+	r := &simulatedRequest{gateway: g, upstream: u, traits: traits, tried: v.Tried, sent: now, instance: u.instance()}
 	u.inFlight[r] = true
+	answerTime := f.answerTime
 	if bad {
+		answerTime = 0
 		f.loop.After(fleetAnswerDelay+fleetCrashDelay, func() {
-			if u.inFlight[r] {
+			if r.instance == u.instance() && !u.down {
 				f.result.crashes = append(f.result.crashes, f.loop.Now)
 				f.end(u)
 			}
 		})
+	}
+	if bad && !f.badAnswered {
 		return
 	}
-	f.loop.After(fleetAnswerDelay+f.answerTime, func() {
+	f.loop.After(fleetAnswerDelay+answerTime, func() {
 		if u.inFlight[r] {
 			delete(u.inFlight, r)
 			g.handle(Answered{r.instance, r.sent})
-			g.handle(Completed{Traits: traits})
+			g.handle(Completed{Incarnation: r.instance, Traits: traits, Tried: r.tried})
 		}
 	})
 }
 
+// instance returns the present run of the upstream.
+func (u *simulatedUpstream) instance() fleet.Incarnation {
+	return fleet.Incarnation(fmt.Sprint(u.name, "/", u.runs))
+}
+
 // choose returns a running upstream, if there is one: any, or the place for the first of
 // the traits.
 func (f *simulatedFleet) choose(tried []Trait) *simulatedUpstream {
@@ -324,6 +346,15 @@
 		{"small, a data centre lost", smallFleet, func(f *simulatedFleet) { f.outageAt, f.outageShare = 10*time.Second, 0.25 }},
 		{"small, a data centre lost meanwhile", smallFleet, func(f *simulatedFleet) { f.badRate, f.outageAt, f.outageShare = 10, 6*time.Second, 0.25 }},
 		{"small, nearly all upstreams lost", smallFleet, func(f *simulatedFleet) { f.outageAt, f.outageShare = 10*time.Second, 0.95 }},
+		{"small, answered before the crash", smallFleet, func(f *simulatedFleet) { f.badRate, f.badAnswered = 2, true }},
+		{"small, answered before the crash, many", smallFleet, func(f *simulatedFleet) { f.badRate, f.badAnswered = 20, true }},
+		{"small, many at once", smallFleet, func(f *simulatedFleet) {
+			f.batchSize, f.batches = 20, []time.Duration{5 * time.Second, 10 * time.Second, 15 * time.Second}
+		}},
+		{"small, many at once, answered before the crash", smallFleet, func(f *simulatedFleet) {
+			f.batchSize, f.badAnswered, f.batches = 20, true, []time.Duration{5 * time.Second, 10 * time.Second, 15 * time.Second}
+		}},
+		{"medium, answered before the crash", mediumFleet, func(f *simulatedFleet) { f.badRate, f.badAnswered = 20, true }},
 		{"medium, 20 a second", mediumFleet, func(f *simulatedFleet) { f.badRate = 20 }},
 		{"medium, a data centre lost meanwhile", mediumFleet, func(f *simulatedFleet) { f.badRate, f.outageAt, f.outageShare = 20, 6*time.Second, 0.125 }},
 	}
--- a/internal/suspect/message.go
+++ b/internal/suspect/message.go
@@ -27,9 +27,17 @@
 // Completed reports that a request ran to the end of its answer.
 type Completed struct {
 	Fingerprint Fingerprint
-	Traits      []Trait
+	// Incarnation is the one that answered. Without it, the traits are cleared at once,
+	// although the upstream may crash just after.
+	Incarnation fleet.Incarnation
+	// Traits are those of the request, and Tried those of them because of which it ran
+	// apart from others.
+	Traits, Tried []Trait
 }
 
+// Refused reports that an upstream refuses connections.
+type Refused struct{ Incarnation fleet.Incarnation }
+
 // Answered reports that an upstream completed an answer to a request that was sent to it
 // at a time.
 type Answered struct {
@@ -45,6 +53,7 @@
 func (Received) message()  {}
 func (Completed) message() {}
 func (Answered) message()  {}
+func (Refused) message()   {}
 func (Ticked) message()    {}
 
 // Effect is an action that Core requests from its caller.
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -54,6 +54,11 @@
 	}
 	v.Suspected = suspected
 	switch {
+	case v.Busy:
+		e := result.Errorf(result.SuspectBusy, "%d upstreams ended under requests with %s or with others, and one request at a time may show which: %s",
+			len(v.Blame.Incarnations), TraitsText(v.Blame.Traits), v.Blame.IncarnationsText())
+		e.RetryAfter = v.RetryAfter
+		return v, e
 	case v.Refuse:
 		e := result.Errorf(result.Suspect, "%d upstreams ended under requests with %s: %s",
 			len(v.Blame.Incarnations), TraitsText(v.Blame.Traits), v.Blame.IncarnationsText())
@@ -129,7 +134,18 @@
 // Completed records that a request ran to the end of its answer, which shows that neither
 // the request nor its traits were the cause of the crashes known here.
 func (t *Tracker) Completed(now time.Time, o *wire.Offer) {
-	t.handle(now, Completed{Fingerprint(o.Fingerprint), traitsOf(o.Traits)})
+	t.CompletedAt(now, "", o)
+}
+
+// CompletedAt records the same of an instance of an upstream. Traits are cleared once the
+// instance has run on for settleTime.
+func (t *Tracker) CompletedAt(now time.Time, instance fleet.Incarnation, o *wire.Offer) {
+	t.handle(now, Completed{Fingerprint(o.Fingerprint), instance, traitsOf(o.Traits), traitsOf(o.Tried)})
+}
+
+// Refused records that an instance of an upstream refuses connections.
+func (t *Tracker) Refused(now time.Time, instance fleet.Incarnation) {
+	t.handle(now, Refused{instance})
 }
 
 // Answered records that an upstream completed an answer to a request that was sent at a
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -21,6 +21,11 @@
 	// trialTurn is how long one process may begin the trial of a finding, before it is
 	// the turn of another. No process begins a second one in that time.
 	trialTurn = 10 * time.Second
+	// boundedCrashes is the number of crashes that a trait on probation may have caused from
+	// which its requests run one at a time in the whole fleet. All upstreams that end at the
+	// same moment are one series of crashes, so that a trait can be on probation after more
+	// than the five crashes from which the platform counts requests.
+	boundedCrashes = 5
 	// minHeldRetryAfter is the minimum retry delay for a request that is held back.
 	minHeldRetryAfter = time.Second
 )
@@ -29,6 +34,9 @@
 type Verdict struct {
 	// Refuse means that it may not run.
 	Refuse bool
+	// Busy means that it may not run now, because requests with a trait on probation run one
+	// at a time and another one does.
+	Busy bool
 	// Suspected means that the request itself was in flight at a crash, whatever its
 	// traits.
 	Suspected bool
@@ -69,19 +77,58 @@
 		c.trials[trial.traits[0]] = now
 		return Verdict{Trial: true, Tried: trial.traits, Blame: trial.blame()}
 	}
-	return Verdict{Tried: f.onProbation(traits)}
+	tried := f.onProbation(traits)
+	worst, p := c.bounded(f, tried)
+	switch {
+	case p == nil:
+		return Verdict{Tried: tried}
+	case !c.mayProbe(now, worst, p, chosen):
+		return Verdict{Busy: true, Refuse: true, Blame: blameOf([]Trait{worst}, p.crashes), RetryAfter: minHeldRetryAfter}
+	}
+	c.trials[worst] = now
+	return Verdict{Trial: true, Tried: tried, Blame: blameOf([]Trait{worst}, p.crashes)}
+}
+
+// bounded returns that of the traits on probation which may have caused most crashes, or nil
+// if none may have caused boundedCrashes. A trait whose requests completed at this process
+// within trustTime before is left out: after the loss of a data centre, one request at a time
+// would be too few of those that share a part with hundreds.
+func (c *Crashes) bounded(f *findings, tried []Trait) (worst Trait, p *probation) {
+	for _, t := range tried {
+		q := f.probation[t]
+		if len(q.crashes) < boundedCrashes || p != nil && len(q.crashes) <= len(p.crashes) {
+			continue
+		}
+		if last := c.completed.last(t); last.IsZero() || q.lastAt().Sub(last) >= trustTime {
+			worst, p = t, q
+		}
+	}
+	return worst, p
+}
+
+func (p *probation) lastAt() time.Time { return p.crashes[len(p.crashes)-1].at }
+
+// mayProbe reports whether this process may let a request run with a trait on probation that
+// may have caused many crashes. It takes the same turns as trials.
+func (c *Crashes) mayProbe(now time.Time, t Trait, p *probation, chosen func(turn uint64) bool) bool {
+	if now.Sub(c.trials[t]) < trialTurn {
+		return false
+	}
+	since := now.Sub(p.lastAt())
+	turn := uint64(t) ^ uint64(max(since, 0)/trialTurn)<<32 ^ uint64(len(p.crashes))
+	return chosen == nil || chosen(turn)
 }
 
 // onProbation returns the traits that are on probation, those with most crashes first.
 func (f *findings) onProbation(traits []Trait) []Trait {
 	var out []Trait
 	for _, t := range traits {
-		if f.probation[t] > 0 && !slices.Contains(out, t) {
+		if f.probation[t] != nil && !slices.Contains(out, t) {
 			out = append(out, t)
 		}
 	}
 	slices.SortFunc(out, func(a, b Trait) int {
-		return cmp.Or(cmp.Compare(f.probation[b], f.probation[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(f.probation[b].series, f.probation[a].series), cmp.Compare(a, b))
 	})
 	return out
 }
@@ -96,7 +143,11 @@
 	if slices.ContainsFunc(f.held, func(h *finding) bool { return containsAll(traits, h.traits) }) {
 		return false
 	}
-	return len(tried) > 0 || len(f.onProbation(traits)) == 0
+	probation := f.onProbation(traits)
+	if _, p := c.bounded(f, probation); p != nil {
+		return false
+	}
+	return len(tried) > 0 || len(probation) == 0
 }
 
 // mayTry reports whether this process may let a request run to see whether the traits of
