Let a starting gateway take no trials, and wait for what others know

A gateway that replaces another hears nobody at first, so that each turn seemed its own: one began a trial of a held part 0.5 s after its start. And it is ready as soon as it has its table: in two of the starts after the first crash the table came before the first word of another gateway, once 0.4 s before the first crash was heard of, in which it would send on all bad requests.

Change: a gateway takes no turns until it has run for as long as a silent one is still counted, 2 s with up to eleven others and 10 s at most. It is ready once another gateway has told it all that it suspects, at once if nothing listens at its seeds, else after 2 s.

--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -185,7 +185,7 @@
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, s) })
 	}))
 	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
-	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g)))
+	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g, t)))
 	serveHTTPUntil(lc, gr, l.callers, newDirectServer(g), stopServer)
 	lc.Append(fx.StopHook(func(context.Context) { p.drain(g) }))
 	p.Log.Write(event.Started, "program", "direct", "vm", p.Name, "data_centre", p.DataCentre,
@@ -209,10 +209,10 @@
 	})
 }
 
-func (p *Direct) readyHandler(g *direct.Gateway) http.Handler {
+func (p *Direct) readyHandler(g *direct.Gateway, t *roster.Task) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc(p.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.Ready() {
+		if !g.Ready() || !t.Introduced() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/roster/peer.go
+++ b/internal/roster/peer.go
@@ -18,6 +18,9 @@
 	// calling reports that a call to the gateway is in progress, and silent that
 	// the gateway is no longer heard from.
 	calling, silent bool
+	// failed reports that a call to the gateway ended in an error before its time was up,
+	// as it does if nothing listens at the address.
+	failed bool
 	// storeUnreachable reports that the gateway cannot reach the store.
 	storeUnreachable bool
 	// addressesSent is when addresses of other gateways were last sent to it.
@@ -80,8 +83,7 @@
 // markSilent marks a gateway as silent if it has not been heard from for
 // silentRounds times the expected time between exchanges.
 func (t *Task) markSilent(now time.Time, address string, p *peer) {
-	rounds := len(t.peers)/callsPerRound(len(t.peers)) + 1
-	if p.silent || now.Sub(p.lastHeard) < silentRounds*time.Duration(rounds)*exchangeInterval {
+	if p.silent || now.Sub(p.lastHeard) < t.silentAfter() {
 		return
 	}
 	p.silent = true
@@ -90,6 +92,12 @@
 	}
 }
 
+// silentAfter returns how long a gateway that runs may not be heard from.
+func (t *Task) silentAfter() time.Duration {
+	rounds := len(t.peers)/callsPerRound(len(t.peers)) + 1
+	return silentRounds * time.Duration(rounds) * exchangeInterval
+}
+
 // countGateways counts the gateways that may be sending requests, which includes
 // gateways last heard from less than forgetAfter ago. It also returns how many
 // other gateways are not silent, and the rank of this one in the order of
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -115,8 +115,13 @@
 	addressOffset int
 	wake          chan struct{}
 	// livePeers holds the addresses of the gateways that were not silent at the last
-	// round. It is read without mu, because Suspects is called with mu held.
+	// round; nil until this one has had the time to hear them. It is read without mu,
+	// because Suspects is called with mu held.
 	livePeers atomic.Pointer[[]string]
+	// startedAt is when Run began, and introduced reports that another gateway has since
+	// told all that it suspects.
+	startedAt  time.Time
+	introduced bool
 }
 
 // Run starts exchanges at each interval, and sooner after ExchangeNow, until ctx
@@ -124,6 +129,7 @@
 func (t *Task) Run(ctx context.Context) error {
 	t.mu.Lock()
 	t.init()
+	t.startedAt = time.Now()
 	t.mu.Unlock()
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
@@ -176,8 +182,7 @@
 		p.calling, p.lastCalled = true, now
 		go t.call(ctx, address)
 	}
-	live := slices.DeleteFunc(slices.Collect(maps.Keys(t.peers)), func(a string) bool { return t.peers[a].silent || t.peers[a].lastHeard.IsZero() })
-	t.livePeers.Store(&live)
+	t.publishLivePeers(now)
 	t.Scheduler.Tell(t.countGateways(now))
 	t.Catalog.SetRelaxed(t.watchersBefore() >= closeWatchers)
 }
@@ -193,6 +198,7 @@
 	client := wire.NewDRPCGatewaysClient(t.Dialer.To(address))
 	reply, err := client.Tell(ctx, t.state(time.Now(), address, false))
 	if err != nil {
+		t.recordFailedCall(ctx, address)
 		return
 	}
 	t.receive(ctx, reply)
@@ -275,6 +281,9 @@
 	t.Scheduler.Tell(placement.PeerLoads{Gateway: s.Address, Loads: decodeLoads(s.Loads)})
 	t.Suspects.Merge(now, s.Suspicions)
 	t.compareDigests(now, p, s.SuspicionDigest)
+	if s.SuspicionSince == 0 {
+		t.setIntroduced()
+	}
 	t.Catalog.ObserveRevisions(context.WithoutCancel(ctx), s.Address, decodeRevisions(s.Revisions))
 }
 
@@ -309,10 +318,11 @@
 }
 
 // Chosen reports whether this gateway is the one, of those that it hears from, whose turn
-// it is. The turns have the same numbers at all gateways.
+// it is. The turns have the same numbers at all gateways. It is never the turn of a gateway
+// that has just started.
 func (t *Task) Chosen(turn uint64) bool {
 	live := t.livePeers.Load()
-	return live == nil || suspect.Chosen(turn, t.Self, *live)
+	return live != nil && suspect.Chosen(turn, t.Self, *live)
 }
 
 // Tell handles a state sent by another gateway and returns the state of this one.
