--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -171,7 +171,7 @@
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, s) })
 	}))
 	serveHTTPUntil(lc, gr, l.metrics, newAdminServer(metricsHandler(g)), stopAdminServer)
-	serveHTTPUntil(lc, gr, l.ready, newAdminServer(p.readyHandler(g)), stopAdminServer)
+	serveHTTPUntil(lc, gr, l.ready, newAdminServer(p.readyHandler(g, t)), stopAdminServer)
 	callers := newCallerListener(l.callers)
 	serveHTTPUntil(lc, gr, callers, callers.attach(newDirectServer(g)), func(_ context.Context, s *http.Server) error {
 		return p.stopServing(g, callers, s)
@@ -197,10 +197,10 @@
 	})
 }
 
-func (p *Direct) readyHandler(g *direct.Gateway) http.Handler {
+func (p *Direct) readyHandler(g *direct.Gateway, t *roster.Task) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc(p.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.Ready() {
+		if !g.Ready() || !t.Introduced() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
