Bound the time of refusals whose body is not read

A request refused by its head (no route, bad key) was answered only once 256 KB of its body had arrived or it had ended, and nothing limited that: a caller that stalls held its connection for ever, as did one that doesn't read its refusals. The server now reads such a body for 500 ms and writes for 2 s.

TestUnreadAnswerIsEvicted shows that an unread answer makes way.

--- a/internal/direct/body.go
+++ b/internal/direct/body.go
@@ -50,6 +50,21 @@
 	_ = control.SetReadDeadline(time.Now())
 }
 
+// unreadBodyTime is how long the server reads the body of a request that is refused by its
+// head, so that the connection can be reused.
+const unreadBodyTime = 500 * time.Millisecond
+
+// boundRefusal limits the time for the refusal of a request whose body has not been read. The
+// server reads the body before it answers, without a limit of its own.
+func (p *proxiedRequest) boundRefusal() {
+	if p.memory != nil {
+		return
+	}
+	control := http.NewResponseController(p.w)
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTime))
+	_ = control.SetWriteDeadline(time.Now().Add(writeGracePeriod))
+}
+
 // bodyError returns the error to report for a body that could not be read.
 func (p *proxiedRequest) bodyError(err error, limit int64) error {
 	switch {
--- a/internal/direct/memory_test.go
+++ b/internal/direct/memory_test.go
@@ -206,6 +206,42 @@
 	returned(t, b)
 }
 
+// A request that is refused by its head must not hold its connection until its body is whole.
+// The connection of an ordinary caller can be used again.
+func TestRefusalWithoutBody(t *testing.T) {
+	f := newFixture(t, 1, responseText(200, "Signed: 1\r\n", "ok"))
+	stalled := f.dial(t, "/none/1", "Transfer-Encoding: chunked\r\n", "5\r\nx")
+	text, closed := stalled.answer(t)
+	assert.Equal(t, text, "404 2008")
+	assert.Assert(t, closed)
+	whole := f.dial(t, "/none/1", "Content-Length: 1\r\n", "x")
+	for range 2 {
+		text, closed = whole.answer(t)
+		assert.Equal(t, text, "404 2008")
+		assert.Assert(t, !closed)
+		time.Sleep(2 * unreadBodyTime)
+		_, err := io.WriteString(whole, "POST /none/1 HTTP/1.1\r\nHost: desk.example\r\nId: 8\r\nContent-Length: 1\r\n\r\nx")
+		assert.NilError(t, err)
+	}
+}
+
+// A caller that does not read its answer must make way for others. Its connection is closed,
+// which does not say that the request has not run.
+func TestUnreadAnswerIsEvicted(t *testing.T) {
+	const size = 8 << 20
+	f := newFixture(t, 1, responseText(200, "Signed: 1\r\n", strings.Repeat("a", size)), responseText(200, "Signed: 1\r\n", "ok"))
+	b := f.withMemory(9600 << 10)
+	unread := f.dial(t, "/book/1", "Content-Length: 1\r\n", "x")
+	waitFor(t, "the write", func() bool { return b.Stats().ByActivity[memory.Writing] > size })
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, f.call(t, http.MethodPost, "/book/1", strings.Repeat("y", 900<<10)), "200 ok")
+	resp, err := http.ReadResponse(unread.reader, nil)
+	assert.NilError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.Assert(t, err != nil && n < size, "%d of %d bytes", n, size)
+	returned(t, b)
+}
+
 // A large body reaches the upstream byte for byte, also when it is sent to a second one.
 func TestLargeBodyIsPassedOn(t *testing.T) {
 	f := newFixture(t, 0)
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -111,6 +111,7 @@
 
 func (p *proxiedRequest) serve(r *http.Request) {
 	if err := p.prepare(r); err != nil {
+		p.boundRefusal()
 		p.writeError(err)
 		p.logEnd(err)
 		return
