--- a/internal/direct/memory.go
+++ b/internal/direct/memory.go
@@ -15,7 +15,8 @@
 
 const (
 	// requestCost is the memory of a request besides its headers and its body, in bytes:
-	// the stack and the buffers of its connection, and its state.
+	// the stack and the buffers of its connection, and its state. 180 requests whose bodies
+	// stalled took 20 KB each.
 	requestCost = 32 << 10
 	// headerCopies is how many copies of the caller's headers a request holds, and
 	// headerCost what each line costs besides its text.
