Count the headers of answers, and refuse without a search

Headers of answers, up to 64 KB each before they are parsed, were not counted; with many short lines they take several times that. They are now reserved, and an answer whose headers find no room ends its attempt as failed. Headers cost 64 bytes for each line, where several lines of one name counted once.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -172,6 +172,7 @@
 	}
 	info := a.gateway.Upstreams.ParseResponse(a.call, x.Response)
 	a.recordStatement(info)
+	noRoom := a.memory.Grow(headersCost(x.Response.Header))
 	status := x.Response.StatusCode
 	switch {
 	case info.Misdirected:
@@ -182,6 +183,8 @@
 	a.mayHaveRun = a.mayHaveRun || !info.NotRun
 	a.releaseSentBody()
 	switch {
+	case noRoom != nil:
+		return a.endFailed(ctx, placement.Left, noRoom.Error(), result.AnswerNoRoom)
 	case !info.Genuine || impliesNotRun(status):
 		return a.endFailed(ctx, placement.Failed, fmt.Sprintf("answer with status %d cannot be passed on", status), result.UpstreamFailed)
 	case a.call.route.Streamed && isEventStream(x.Response):
--- a/internal/direct/memory.go
+++ b/internal/direct/memory.go
@@ -58,9 +58,8 @@
 func headersCost(h http.Header) int64 {
 	n := 0
 	for name, values := range h {
-		n += headerCost + len(name)
 		for _, v := range values {
-			n += len(v)
+			n += headerCost + len(name) + len(v)
 		}
 	}
 	return int64(headerCopies * n)
--- a/internal/memory/bench_test.go
+++ b/internal/memory/bench_test.go
@@ -22,3 +22,17 @@
 		a.Close()
 	}
 }
+
+// What a refusal costs when memory is short and 2,000 holders are looked through.
+func BenchmarkRefusal(b *testing.B) {
+	budget := New(1 << 20)
+	for n := range 2000 {
+		a := budget.Open(Holder{Client: string(rune('a' + n%26))})
+		_ = a.Grow(512)
+		_ = a.Begin(Sent)
+	}
+	a := budget.Open(Holder{})
+	for b.Loop() {
+		_ = a.Grow(1 << 20)
+	}
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -251,7 +251,7 @@
 	if a.evicted {
 		return ErrEvicted
 	}
-	a.holder.Activity = max(a.holder.Activity, next)
+	a.budget.core.begin(a, max(a.holder.Activity, next))
 	return nil
 }
 
@@ -263,7 +263,8 @@
 	if a.evicted {
 		return ErrEvicted
 	}
-	a.holder.Activity, a.writing, a.windowStart = Writing, n, time.Now()
+	a.budget.core.begin(a, Writing)
+	a.writing, a.windowStart = n, time.Now()
 	return nil
 }
 
@@ -271,7 +272,7 @@
 func (a *Account) EndWrite() {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.holder.Activity = Sent
+	a.budget.core.begin(a, Sent)
 }
 
 // Close returns all memory of the account.
@@ -292,9 +293,6 @@
 
 func (b *Budget) stats() Stats {
 	s := b.core.stats
-	s.Limit, s.Held, s.Short = b.core.limit, b.core.held, b.core.short
-	for a := range b.core.accounts {
-		s.ByActivity[a.holder.Activity] += a.held
-	}
+	s.Limit, s.Held, s.ByActivity, s.Short = b.core.limit, b.core.held, b.core.byActivity, b.core.short
 	return s
 }
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -42,9 +42,11 @@
 	// held is the memory of all accounts, and leaving that of evicted ones, which return
 	// it as soon as they notice.
 	held, leaving int64
-	accounts      map[*Account]struct{}
-	short         bool
-	stats         Stats
+	// byActivity is the memory of the accounts of each activity.
+	byActivity [activities]int64
+	accounts   map[*Account]struct{}
+	short      bool
+	stats      Stats
 }
 
 // room returns the share of the limit that an account may fill if it grows by n.
@@ -63,8 +65,7 @@
 func (c *core) grow(now time.Time, a *Account, n int64) (verdict, []*Account) {
 	room := c.room(a, n)
 	if c.held+n <= room {
-		c.held += n
-		a.held += n
+		c.add(a, n)
 		a.awaitsMemory = false
 		return granted, nil
 	}
@@ -89,30 +90,48 @@
 // victims returns the holders whose memory makes up for need, and whether there are enough.
 // Those whose callers are slow come first, then the largest of the client that holds most.
 func (c *core) victims(now time.Time, a *Account, n, need int64) ([]*Account, bool) {
+	// Most refusals come when nearly all memory is held by requests that were passed on.
+	// They cost no search.
+	if need <= 0 || need > c.byActivity[Reading]+c.byActivity[Waiting]+c.byActivity[Writing] {
+		return nil, need <= 0
+	}
 	var out []*Account
 	chosen := map[*Account]bool{a: true}
-	ofClient := map[string]int64{}
-	for o := range c.accounts {
-		if !o.evicted {
-			ofClient[o.holder.Client] += o.held
-		}
-	}
-	for need > 0 {
-		v := c.slowest(now, chosen)
-		if v == nil {
-			v = c.largest(chosen, ofClient)
-			if v == nil || !outweighs(v, a, n, ofClient) {
-				return nil, false
-			}
-		}
+	choose := func(v *Account) {
 		chosen[v] = true
 		out = append(out, v)
 		need -= v.held
+	}
+	for v := c.slowest(now, chosen); v != nil && need > 0; v = c.slowest(now, chosen) {
+		choose(v)
+	}
+	if need <= 0 {
+		return out, true
+	}
+	ofClient := c.byClient(chosen)
+	ofClient[a.holder.Client] += a.held
+	for need > 0 {
+		v := c.largest(chosen, ofClient)
+		if v == nil || !outweighs(v, a, n, ofClient) {
+			return nil, false
+		}
+		choose(v)
 		ofClient[v.holder.Client] -= v.held
 	}
 	return out, true
 }
 
+// byClient returns what each client holds, without those that have been or will be evicted.
+func (c *core) byClient(chosen map[*Account]bool) map[string]int64 {
+	out := map[string]int64{}
+	for o := range c.accounts {
+		if !o.evicted && !chosen[o] {
+			out[o.holder.Client] += o.held
+		}
+	}
+	return out
+}
+
 // slowest returns the largest holder whose caller is slow; nil if there is none.
 func (c *core) slowest(now time.Time, chosen map[*Account]bool) *Account {
 	var found *Account
@@ -150,10 +169,23 @@
 	return ofClient[v.holder.Client] > ofClient[a.holder.Client]+n
 }
 
+// add adds n bytes to an account.
+func (c *core) add(a *Account, n int64) {
+	a.held += n
+	c.held += n
+	c.byActivity[a.holder.Activity] += n
+}
+
+// begin sets what the holder of an account does.
+func (c *core) begin(a *Account, next Activity) {
+	c.byActivity[a.holder.Activity] -= a.held
+	c.byActivity[next] += a.held
+	a.holder.Activity = next
+}
+
 // shrink takes back n bytes of an account.
 func (c *core) shrink(a *Account, n int64) {
-	a.held -= n
-	c.held -= n
+	c.add(a, -n)
 	if a.evicted {
 		c.leaving -= n
 	}
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -22,12 +22,12 @@
 	return &table{core: core{limit: limit, accounts: map[*Account]struct{}{}}, now: time.Unix(0, 0), accounts: map[string]*Account{}}
 }
 
-// add adds a holder that holds n bytes. All that it holds has just arrived.
-func (t *table) add(name, client string, activity Activity, n int64) {
-	a := &Account{holder: Holder{Request: name, Client: client, Activity: activity}, held: n, lastProgress: t.now, windowStart: t.now, windowBytes: n}
+// open adds a holder that holds n bytes. All that it holds has just arrived.
+func (t *table) open(name, client string, activity Activity, n int64) {
+	a := &Account{holder: Holder{Request: name, Client: client, Activity: activity}, lastProgress: t.now, windowStart: t.now, windowBytes: n}
 	t.accounts[name] = a
 	t.core.accounts[a] = struct{}{}
-	t.held += n
+	t.core.add(a, n)
 }
 
 // grow asks for memory and returns the verdict and the names of the evicted holders.
@@ -50,34 +50,34 @@
 		ask   int64
 		want  string
 	}{
-		{"enough", func(c *table) { c.add("other", "x", Reading, 200*kb) }, 100 * kb, "granted"},
-		{"large body over its share", func(c *table) { c.add("other", "x", Sent, 400*kb) }, 300 * kb, "refused"},
-		{"ordinary request beside large ones", func(c *table) { c.add("other", "x", Sent, 625*kb) }, 100 * kb, "granted"},
+		{"enough", func(c *table) { c.open("other", "x", Reading, 200*kb) }, 100 * kb, "granted"},
+		{"large body over its share", func(c *table) { c.open("other", "x", Sent, 400*kb) }, 300 * kb, "refused"},
+		{"ordinary request beside large ones", func(c *table) { c.open("other", "x", Sent, 625*kb) }, 100 * kb, "granted"},
 		{"stalled before larger", func(c *table) {
-			c.add("stalled", "x", Reading, 300*kb)
+			c.open("stalled", "x", Reading, 300*kb)
 			c.now = c.now.Add(2 * time.Second)
-			c.add("large", "x", Reading, 650*kb)
+			c.open("large", "x", Reading, 650*kb)
 		}, 100 * kb, "pending stalled"},
 		{"largest of the heaviest client", func(c *table) {
-			c.add("alone", "y", Reading, 400*kb)
-			c.add("small", "x", Reading, 250*kb)
-			c.add("large", "x", Reading, 300*kb)
+			c.open("alone", "y", Reading, 400*kb)
+			c.open("small", "x", Reading, 250*kb)
+			c.open("large", "x", Reading, 300*kb)
 		}, 100 * kb, "pending large"},
-		{"waiting may be evicted", func(c *table) { c.add("waits", "x", Waiting, 1000*kb) }, 100 * kb, "pending waits"},
-		{"sent may not", func(c *table) { c.add("sent", "x", Sent, 1000*kb) }, 100 * kb, "refused"},
-		{"being read by its caller may not", func(c *table) { c.add("read", "x", Writing, 1000*kb) }, 100 * kb, "refused"},
+		{"waiting may be evicted", func(c *table) { c.open("waits", "x", Waiting, 1000*kb) }, 100 * kb, "pending waits"},
+		{"sent may not", func(c *table) { c.open("sent", "x", Sent, 1000*kb) }, 100 * kb, "refused"},
+		{"being read by its caller may not", func(c *table) { c.open("read", "x", Writing, 1000*kb) }, 100 * kb, "refused"},
 		{"not read by its caller may", func(c *table) {
-			c.add("unread", "x", Writing, 1000*kb)
+			c.open("unread", "x", Writing, 1000*kb)
 			c.now = c.now.Add(2 * time.Second)
 		}, 100 * kb, "pending unread"},
-		{"a large one does not evict a smaller one of its client", func(c *table) { c.add("small", "a", Reading, 500*kb) }, 550 * kb, "refused"},
+		{"a large one does not evict a smaller one of its client", func(c *table) { c.open("small", "a", Reading, 500*kb) }, 550 * kb, "refused"},
 		{"too little to evict", func(c *table) {
-			c.add("sent", "x", Sent, 950*kb)
-			c.add("small", "x", Reading, 40*kb)
+			c.open("sent", "x", Sent, 950*kb)
+			c.open("small", "x", Reading, 40*kb)
 		}, 100 * kb, "refused"},
 		{"several", func(c *table) {
 			for n := range 20 {
-				c.add(fmt.Sprint(n), "x", Reading, 50*kb)
+				c.open(fmt.Sprint(n), "x", Reading, 50*kb)
 			}
 			c.now = c.now.Add(2 * time.Second)
 		}, 40 * kb, "pending"},
@@ -86,7 +86,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := newTable(1000 * kb)
 			tt.setUp(c)
-			c.add("new", "a", Reading, 0)
+			c.open("new", "a", Reading, 0)
 			got := c.grow("new", tt.ask)
 			if tt.name == "several" {
 				got = got[:len("pending")]
@@ -120,8 +120,8 @@
 // every request.
 func TestShort(t *testing.T) {
 	c := newTable(1000 * kb)
-	c.add("sent", "x", Sent, 900*kb)
-	c.add("new", "x", Reading, 0)
+	c.open("sent", "x", Sent, 900*kb)
+	c.open("new", "x", Reading, 0)
 	assert.Equal(t, c.grow("new", 300*kb), "refused")
 	assert.Assert(t, c.short)
 	c.shrink(c.accounts["sent"], 300*kb)
@@ -141,26 +141,28 @@
 		a, ok := c.accounts[name]
 		switch {
 		case !ok:
-			c.add(name, fmt.Sprint(random.IntN(4)), Reading, 0)
+			c.open(name, fmt.Sprint(random.IntN(4)), Reading, 0)
 		case a.evicted || random.IntN(20) == 0:
 			c.shrink(a, a.held)
 			delete(c.core.accounts, a)
 			delete(c.accounts, name)
 		case random.IntN(10) == 0:
-			a.holder.Activity = min(a.holder.Activity+1, Sent)
+			c.begin(a, min(a.holder.Activity+1, Sent))
 		default:
 			_, victims := c.core.grow(c.now, a, int64(random.IntN(128*kb)))
 			for _, v := range victims {
 				assert.Assert(t, v != a && v.holder.Activity < Sent, "step %d", n)
 			}
 		}
-		held, leaving := int64(0), int64(0)
+		held, leaving, byActivity := int64(0), int64(0), [activities]int64{}
 		for _, a := range c.accounts {
 			held += a.held
+			byActivity[a.holder.Activity] += a.held
 			if a.evicted {
 				leaving += a.held
 			}
 		}
+		assert.Equal(t, byActivity, c.byActivity)
 		assert.Assert(t, held == c.held && leaving == c.leaving && held <= c.limit, "step %d: %d %d of %d", n, held, c.held, c.limit)
 	}
 	assert.Assert(t, c.stats.Evicted > 100 && c.stats.Refused > 100, "%+v", c.stats)
