--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,8 +76,11 @@
 	TraitsHeld      Number = 409
 	TraitsReleased  Number = 410
 	TraitsTried     Number = 411
-	KeyUnknown      Number = 501
-	KeysFull        Number = 502
+	// 421 and on are the connections of callers.
+	ConnectionsShort  Number = 421
+	ConnectionsEnough Number = 422
+	KeyUnknown        Number = 501
+	KeysFull          Number = 502
 )
 
 // Level is the severity of an event.
--- a/internal/process/scenario_test.go
+++ b/internal/process/scenario_test.go
@@ -56,6 +56,8 @@
 	result.CallBudget:      "logged only, never returned: internal/platform, platform_test.go",
 	result.RoomReserved:    "returned only by gateways without sidecars: internal/direct, gateway_test.go",
 	result.UpstreamsPaused: "returned only by gateways without sidecars: internal/direct, statement_test.go",
+	result.HeadTooLarge:    "returned only by gateways without sidecars: internal/connection, tracker_test.go",
+	result.HeadTooSlow:     "returned only by gateways without sidecars: internal/connection, tracker_test.go",
 	result.Internal:        "indicates a bug in the program; none is known",
 }
 
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -51,6 +51,8 @@
 	BadBody             Code = 2011
 	CallerGone          Code = 2012
 	BadAdminToken       Code = 2013
+	HeadTooLarge        Code = 2021
+	HeadTooSlow         Code = 2022
 	AccountRate         Code = 3001
 	AccountTokens       Code = 3002
 	AccountInFlight     Code = 3003
--- a/pkg/result/info.go
+++ b/pkg/result/info.go
@@ -28,6 +28,8 @@
 	{BadBody, "bad_body", 400, true, false, "the request body could not be read whole"},
 	{CallerGone, "caller_gone", 499, false, false, "the caller hung up before its answer was whole"},
 	{BadAdminToken, "bad_admin_token", 401, true, false, "the administration API needs its bearer token"},
+	{HeadTooLarge, "head_too_large", 431, true, false, "the head of the request is over the limit"},
+	{HeadTooSlow, "head_too_slow", 408, true, true, "the head of the request did not arrive in time"},
 	{AccountRate, "account_rate", 429, true, true, "the client account is over its requests a second"},
 	{AccountTokens, "account_tokens", 429, true, true, "the client account is over its tokens a minute"},
 	{AccountInFlight, "account_in_flight", 429, true, true, "the client account has too many requests in flight"},
