Bound the connections of callers, and apply the limits of the table to them

Idle connections were kept for a minute, heads could have 64 KB and take 5 s whatever the configuration said, and nothing bounded the number of connections. Idle ones used up the descriptors, so that a gateway could neither accept callers nor connect to upstreams.

The server of callers now uses internal/connection. Its bounds come from the memory of the settings and from limits.fileDescriptors, which is new and may be missing. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the table in force apply, also after a change. Pools count their open connections, because these use descriptors too. A caller that does not read chunks is still reset when an answer breaks off: internal/direct takes any connection that can be reset, since the one it gets is now wrapped.

--- a/internal/connection/bounds.go
+++ b/internal/connection/bounds.go
@@ -4,8 +4,10 @@
 
 const (
 	// entryMemory is the memory of a connection without a request: the stack of its goroutine,
-	// two buffers of 4 KB, and the objects of package net/http and of the kernel.
-	entryMemory = 24 << 10
+	// two buffers of 4 KB, the objects of package net/http, and what the garbage collector has
+	// not freed. 2,400 connections that were idle after a request took 36 KB each, 3,000 that
+	// had sent nothing 11 KB.
+	entryMemory = 36 << 10
 	// servedMemory is what a connection needs in addition while a request is served: the
 	// response, and a part of the kernel's buffers.
 	servedMemory = 40 << 10
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -45,7 +45,8 @@
 		return 0, errClosing
 	}
 	// The server reads on, so what has been read so far is not a whole head.
-	if c.headBytes >= c.tracker.limits.Load().HeadBytes {
+	left := c.tracker.limits.Load().HeadBytes - c.headBytes
+	if left <= 0 {
 		c.refuseLargeHead(p)
 		return 0, errClosing
 	}
@@ -53,7 +54,7 @@
 		c.refuseClosing()
 		return 0, errClosing
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.Conn.Read(p[:min(int64(len(p)), left)])
 	if n > 0 {
 		c.tracker.received(c, p[:n])
 	}
--- a/internal/connection/tracker_test.go
+++ b/internal/connection/tracker_test.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
+	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/pkg/result"
 )
 
@@ -21,6 +24,8 @@
 // bubble.
 type pipeListener struct {
 	accepted chan net.Conn
+	// failures are returned by Accept.
+	failures chan error
 	closed   chan struct{}
 }
 
@@ -28,6 +33,8 @@
 	select {
 	case c := <-l.accepted:
 		return c, nil
+	case err := <-l.failures:
+		return nil, err
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -46,6 +53,7 @@
 	tracker  *Tracker
 	listener *pipeListener
 	refusals map[result.Code]int
+	log      *bytes.Buffer
 }
 
 var usualLimits = Limits{HeadBytes: 16384, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
@@ -54,8 +62,9 @@
 func withServer(t *testing.T, b Bounds, h http.HandlerFunc, test func(f *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{T: t, refusals: map[result.Code]int{}, listener: &pipeListener{make(chan net.Conn), make(chan struct{})}}
+		f := &fixture{T: t, refusals: map[result.Code]int{}, log: &bytes.Buffer{}, listener: &pipeListener{make(chan net.Conn), make(chan error), make(chan struct{})}}
 		f.tracker = &Tracker{Bounds: b, CountRefusal: func(c result.Code) { f.refusals[c]++ }}
+		f.tracker.Log = &event.Log{Logger: log.New(f.log)}
 		f.tracker.Init()
 		f.tracker.SetLimits(usualLimits)
 		s := &http.Server{Handler: h}
@@ -208,7 +217,7 @@
 		c := f.dial()
 		assert.Equal(t, f.request(c, head(16384)), 200)
 		assert.Equal(t, f.request(c, head(16384)), 200)
-		go func() { _, _ = io.WriteString(c, head(100_000)) }()
+		go func() { _, _ = io.WriteString(c, head(16385)) }()
 		got, took := f.untilClosed(c)
 		assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 431 Request Header Fields Too Large\r\n"), got)
 		assert.Assert(t, took <= lingerTime, "%s", took)
@@ -269,3 +278,37 @@
 		assert.Assert(t, took <= refusalTime+time.Second, "%s", took)
 	})
 }
+
+// A process that has no descriptors left, although it counts enough, must close idle connections
+// and go on accepting. Each change between too few and enough must be logged once.
+func TestOutOfDescriptors(t *testing.T) {
+	withServer(t, Bounds{Descriptors: 4100}, answerOK, func(f *fixture) {
+		first, second := f.dial(), f.dial()
+		assert.Equal(t, f.request(first, get), 200)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.request(second, get), 200)
+		f.listener.failures <- &net.OpError{Op: "accept", Err: syscall.EMFILE}
+		got, took := f.untilClosed(first)
+		assert.Equal(t, got, "")
+		assert.Equal(t, took, time.Duration(0))
+		assert.Equal(t, f.request(f.dial(), get), 200)
+		f.listener.failures <- &net.OpError{Op: "accept", Err: syscall.ENFILE}
+		_, took = f.untilClosed(second)
+		assert.Equal(t, took, time.Duration(0))
+		f.assertLogged(event.ConnectionsShort, 1)
+		f.assertLogged(event.ConnectionsEnough, 0)
+		time.Sleep(shortageTime + 2*sweepInterval)
+		f.assertLogged(event.ConnectionsShort, 1)
+		f.assertLogged(event.ConnectionsEnough, 1)
+		f.assertMetric(`jasminewing_direct_caller_connections_closed_total{reason="room"} 2`)
+		assert.Assert(t, strings.Contains(f.log.String(), "bound=descriptors"), f.log)
+	})
+}
+
+// assertLogged checks how often an event has been logged.
+func (f *fixture) assertLogged(n event.Number, want int) {
+	f.Helper()
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	assert.Equal(f, strings.Count(f.log.String(), fmt.Sprintf("event=%d ", n)), want)
+}
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -54,7 +54,9 @@
 
 	stop     stopState
 	inFlight atomic.Int64
-	metrics  metricSet
+	// openUpstreams is the number of open connections to upstreams.
+	openUpstreams atomic.Int64
+	metrics       metricSet
 
 	// loggedView is the last view whose changes were logged. Only ApplyView
 	// accesses it.
@@ -78,6 +80,9 @@
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// OpenUpstreams returns the number of open connections to upstreams.
+func (g *Gateway) OpenUpstreams() int { return int(g.openUpstreams.Load()) }
+
 // CountRefusal counts an error response in the refusals metric. It is exported
 // for input that is refused before it becomes a request.
 func (g *Gateway) CountRefusal(c result.Code) { g.metrics.refusal(c).Inc() }
@@ -113,7 +118,11 @@
 	k := u.Incarnation()
 	p := g.pools[k]
 	if p == nil {
-		p = &upstream.Pool{Address: u.Address, OnConnect: g.metrics.connections.Inc}
+		p = &upstream.Pool{
+			Address:   u.Address,
+			OnConnect: func() { g.openUpstreams.Add(1); g.metrics.connections.Inc() },
+			OnClose:   func() { g.openUpstreams.Add(-1) },
+		}
 		g.pools[k] = p
 	}
 	return p
--- a/internal/direct/response.go
+++ b/internal/direct/response.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,7 +51,7 @@
 func (p *proxiedRequest) abort() {
 	if !p.chunksSupported {
 		if c, _, err := http.NewResponseController(p.w).Hijack(); err == nil {
-			if tcp, ok := c.(*net.TCPConn); ok {
+			if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = c.Close()
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 
 	"jasminewing.dev/jasminewing/internal/catalog"
+	"jasminewing.dev/jasminewing/internal/connection"
 	"jasminewing.dev/jasminewing/internal/direct"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/fleet"
@@ -46,9 +47,6 @@
 	// endTime is how long the errors that end the requests left at that time may take to
 	// be written, and how long the connections may then take to close.
 	endTime = 150 * time.Millisecond
-	// directIdleTimeout is longer than the time for which callers reuse a
-	// connection.
-	directIdleTimeout = time.Minute
 	// reloadInterval is how often the settings file is read without a SIGHUP.
 	reloadInterval = 10 * time.Second
 )
@@ -65,11 +63,13 @@
 	Seeds                                          []string
 	// Secret is shared by all gateways.
 	Secret wire.Secret
-	// MemoryLimit is the memory limit of the process in bytes.
-	MemoryLimit int64
-	StopLimit   time.Duration
-	RetryBounds placement.RetryBounds
-	ColdBounds  placement.ColdBounds
+	// MemoryLimit is the memory limit of the process in bytes, and DescriptorLimit its number
+	// of descriptors; zero for no bound.
+	MemoryLimit     int64
+	DescriptorLimit int
+	StopLimit       time.Duration
+	RetryBounds     placement.RetryBounds
+	ColdBounds      placement.ColdBounds
 
 	Store     catalog.Store
 	Decode    func(key string, value []byte) (any, error)
@@ -96,7 +96,7 @@
 	return fx.New(
 		commonOptions(0),
 		fx.Supply(p, p.Log),
-		fx.Provide(p.open, p.dialer, p.scheduler, p.catalog, p.roster, p.gateway),
+		fx.Provide(p.open, p.dialer, p.scheduler, p.catalog, p.roster, p.gateway, p.connections),
 		fx.Invoke(p.run),
 	)
 }
@@ -138,20 +138,46 @@
 		Callers: p.Callers, Upstreams: p.Upstreams, Catalog: c, Scheduler: s, Suspects: suspects, Log: p.Log,
 	}
 	g.Init()
-	c.OnChange = g.ApplyView
 	return g
 }
 
+// connections returns the tracker of the connections of callers, which follows the limits of the
+// routing table in force.
+func (p *Direct) connections(g *direct.Gateway, c *catalog.Task, r *roster.Task) *connection.Tracker {
+	t := &connection.Tracker{
+		Bounds:    connection.NewBounds(p.MemoryLimit, p.DescriptorLimit),
+		Upstreams: g.OpenUpstreams, Gateways: r.LiveGateways, CountRefusal: g.CountRefusal, Log: p.Log,
+	}
+	t.Init()
+	c.OnChange = func(v *route.View) {
+		g.ApplyView(v)
+		t.SetLimits(connectionLimits(v.Table))
+	}
+	return t
+}
+
+// connectionLimits returns the limits of a table on the connections of callers. Without a table,
+// all are zero.
+func connectionLimits(t *route.Table) connection.Limits {
+	if t == nil {
+		return connection.Limits{}
+	}
+	return connection.Limits{HeadBytes: t.Limits.HeaderBytes, HeadTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+}
+
 // directListeners holds the open listeners of the program.
 type directListeners struct{ callers, ready, peers, metrics net.Listener }
 
 func (p *Direct) open() (*directListeners, error) {
 	var l directListeners
 	var err error
+	if l.callers, err = connection.Listen(string(p.Listen)); err != nil {
+		return nil, err
+	}
 	for _, o := range []struct {
 		listener *net.Listener
 		address  fleet.Address
-	}{{&l.callers, p.Listen}, {&l.ready, p.ReadyListen}, {&l.peers, p.PeerListen}, {&l.metrics, p.MetricsListen}} {
+	}{{&l.ready, p.ReadyListen}, {&l.peers, p.PeerListen}, {&l.metrics, p.MetricsListen}} {
 		if *o.listener, err = listen(nil, o.address); err != nil {
 			return nil, err
 		}
@@ -159,7 +185,7 @@
 	return &l, nil
 }
 
-func (p *Direct) run(lc fx.Lifecycle, gr *group, l *directListeners, s *placement.Scheduler, c *catalog.Task, t *roster.Task, g *direct.Gateway) {
+func (p *Direct) run(lc fx.Lifecycle, gr *group, l *directListeners, s *placement.Scheduler, c *catalog.Task, t *roster.Task, g *direct.Gateway, conns *connection.Tracker) {
 	writerCtx, stopWriter := context.WithCancel(context.Background())
 	writerDone := make(chan struct{})
 	lc.Append(fx.Hook{
@@ -181,12 +207,13 @@
 		gr.run(s.Run)
 		gr.run(c.Run)
 		gr.run(t.Run)
+		gr.run(conns.Run)
 		gr.run(p.reportDroppedLines)
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, s) })
 	}))
-	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g)))
+	serveHTTP(lc, gr, l.metrics, newAdminServer(metricsHandler(g, conns)))
 	serveHTTP(lc, gr, l.ready, newAdminServer(p.readyHandler(g)))
-	serveHTTPUntil(lc, gr, l.callers, newDirectServer(g), stopServer)
+	serveHTTPUntil(lc, gr, conns.Listener(l.callers), newDirectServer(g, conns), stopServer)
 	lc.Append(fx.StopHook(func(context.Context) { p.drain(g) }))
 	p.Log.Write(event.Started, "program", "direct", "vm", p.Name, "data_centre", p.DataCentre,
 		"listen", l.callers.Addr(), "peer_listen", l.peers.Addr(), "ready_listen", l.ready.Addr(),
@@ -195,16 +222,16 @@
 
 // newDirectServer returns a server for callers. It has no timeouts for bodies and
 // answers, because each call limits its own.
-func newDirectServer(h http.Handler) *http.Server {
-	s := newServer(h)
-	s.IdleTimeout = directIdleTimeout
-	s.ErrorLog = log.New(io.Discard, "", 0)
+func newDirectServer(h http.Handler, conns *connection.Tracker) *http.Server {
+	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
+	conns.Configure(s)
 	return s
 }
 
-func metricsHandler(g *direct.Gateway) http.Handler {
+func metricsHandler(g *direct.Gateway, conns *connection.Tracker) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		g.WriteMetrics(w)
+		conns.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -315,6 +315,14 @@
 	return live == nil || suspect.Chosen(turn, t.Self, *live)
 }
 
+// LiveGateways returns the number of other gateways that were not silent at the last round.
+func (t *Task) LiveGateways() int {
+	if live := t.livePeers.Load(); live != nil {
+		return len(*live)
+	}
+	return 0
+}
+
 // Tell handles a state sent by another gateway and returns the state of this one.
 func (t *Task) Tell(ctx context.Context, s *wire.GatewayState) (*wire.GatewayState, error) {
 	t.receive(ctx, s)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -125,10 +125,15 @@
 	Priority *Priority
 }
 
-// Limits restricts what a caller may send.
+// Limits restricts what a caller may send, and for how long a connection may wait for it.
+// Defaults apply where a limit is zero.
 type Limits struct {
-	// BodyBytes is the maximum size of a request body in bytes.
-	BodyBytes int64
+	// HeaderBytes and BodyBytes are the maximum sizes of the head and of the body of a request
+	// in bytes.
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout is the longest time that a head may take to arrive, and IdleTimeout how
+	// long a connection may be idle.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table is one version of the configuration.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -57,8 +57,9 @@
 	Address string
 	// Dial opens a connection; if nil, the pool dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// OnConnect is called after each new connection is opened; it may be nil.
-	OnConnect func()
+	// OnConnect is called after each new connection is opened, and OnClose after it is closed;
+	// they may be nil.
+	OnConnect, OnClose func()
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -80,6 +81,17 @@
 	opened    time.Time
 	idleUntil time.Time
 	used      bool
+	onClose   func()
+	closeOnce sync.Once
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	if c.onClose != nil {
+		c.closeOnce.Do(c.onClose)
+	}
+	return err
 }
 
 // limitedReader reads at most left bytes. Unlike io.LimitedReader it fails after them.
@@ -155,7 +167,7 @@
 		p.OnConnect()
 	}
 	l := &limitedReader{source: c}
-	return &conn{Conn: c, limited: l, reader: bufio.NewReaderSize(l, readBufferSize), opened: time.Now()}, nil
+	return &conn{Conn: c, limited: l, reader: bufio.NewReaderSize(l, readBufferSize), opened: time.Now(), onClose: p.OnClose}, nil
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
