Refuse requests whose bodies keep new callers out

A connection whose body stops short of its end counted as served, and was kept until the deadline of the request. A few hundred of them would use all room for connections, so that new callers were refused.

A connection now has the phase body until its request has been read. At a bound, the one in this phase for longest is closed if that is more than 3 s, after idle connections and before those that send a head. Its request gets 503 connections_full (3021) as not run. Requests that have been read are still never cut off.

--- a/internal/connection/bounds.go
+++ b/internal/connection/bounds.go
@@ -27,6 +27,9 @@
 	descriptorsPerGateway = 2
 	// minConnections is allowed however few descriptors there are.
 	minConnections = 64
+	// slowBody is how long a body may take to arrive before its connection can be closed for
+	// others. At 10 Mbit/s, a usual body of 100 KB takes 80 ms, and one of 4 MB 3.4 s.
+	slowBody = 3 * time.Second
 	// shortageTime is how long after the last connection was closed for others the shortage
 	// counts as over.
 	shortageTime = 10 * time.Second
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -13,7 +13,7 @@
 // longAgo is a read deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
-// conn is a connection of a caller. While a request is served, reads only cost one atomic load
+// conn is a connection of a caller. While a request is served, reads only cost two atomic loads
 // more than those of the connection that it wraps.
 type conn struct {
 	net.Conn
@@ -22,9 +22,9 @@
 	// head was over the limit.
 	entry     *Entry
 	largeHead bool
-	// served is whether a request is being served.
+	// served is whether a head has been read and its request is not answered.
 	served atomic.Bool
-	// closing is set once the connection is to be closed; it is cleared if a whole request had
+	// closing is set once the connection is to be closed; it is cleared if a whole head had
 	// been read by then.
 	closing atomic.Bool
 
@@ -39,6 +39,9 @@
 // answer to a head that is refused.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.served.Load() {
+		if c.closing.Load() {
+			return 0, errClosing
+		}
 		return c.Conn.Read(p)
 	}
 	if c.refused {
--- a/internal/connection/core.go
+++ b/internal/connection/core.go
@@ -38,7 +38,7 @@
 }
 
 // Open adds a connection that has been accepted. It returns nil if the connection must be
-// closed because all others are serving requests. Otherwise Excess must be called.
+// closed because no other can be. Otherwise Excess must be called.
 func (c *Core) Open(now time.Time, owner any) *Entry {
 	e := &Entry{Owner: owner, phase: New, since: now}
 	c.lists[New].push(e)
@@ -66,10 +66,10 @@
 	e.head += memory
 }
 
-// Serve tells that a whole request has been read. It is served even if the connection was to
-// be closed. Excess must be called after it.
-func (c *Core) Serve(now time.Time, e *Entry) {
-	if e.phase == Served {
+// EndHead tells that a whole head has been read. The connection stays open even if it was to be
+// closed. Excess must be called after it.
+func (c *Core) EndHead(now time.Time, e *Entry) {
+	if e.phase == Body || e.phase == Served {
 		return
 	}
 	if e.reason != none {
@@ -80,15 +80,26 @@
 	}
 	c.unreadHeads -= e.head
 	c.readHeads += e.head
-	c.enter(now, e, Served)
+	c.enter(now, e, Body)
+}
+
+// Serve tells that the whole request has been read. It returns false if the connection was to be
+// closed while the body was arriving; the request must then be refused.
+func (c *Core) Serve(now time.Time, e *Entry) bool {
+	if e.phase == Body && e.reason == none {
+		c.enter(now, e, Served)
+	}
+	return e.phase == Served
 }
 
 // Rest tells that the answer has been sent.
 func (c *Core) Rest(now time.Time, e *Entry) {
-	if e.phase != Served {
+	if e.phase != Body && e.phase != Served {
 		return
 	}
-	c.readHeads -= e.head
+	if e.reason == none {
+		c.readHeads -= e.head
+	}
 	e.head = 0
 	c.enter(now, e, Idle)
 }
@@ -101,9 +112,9 @@
 	switch {
 	case e.reason != none:
 		c.closing--
-	case e.phase == Served:
+	case e.phase == Body || e.phase == Served:
 		c.readHeads -= e.head
-		c.lists[Served].remove(e)
+		c.lists[e.phase].remove(e)
 	default:
 		c.unreadHeads -= e.head
 		c.lists[e.phase].remove(e)
@@ -166,7 +177,11 @@
 // end marks a connection, which is not served, as one that is to be closed.
 func (c *Core) end(e *Entry, r Reason) {
 	c.lists[e.phase].remove(e)
-	c.unreadHeads -= e.head
+	if e.phase == Body {
+		c.readHeads -= e.head
+	} else {
+		c.unreadHeads -= e.head
+	}
 	e.reason = r
 	c.closing++
 }
@@ -185,7 +200,7 @@
 	for p := range c.lists {
 		open += c.lists[p].length
 	}
-	served := c.lists[Served].length
+	served := c.lists[Body].length + c.lists[Served].length
 	b := &c.Bounds
 	switch {
 	case b.Descriptors > 0 && open+max(served, c.Upstreams) > b.forConnections(c.Gateways):
@@ -200,8 +215,8 @@
 
 // victim returns the connection that is closed first. Clients open connections ahead of need,
 // but one that has sent nothing for longer than a head may take is worth least. After it comes
-// the one that has been idle longest, and then the one that has been waiting for its first head
-// or sending one for longest. The memory of heads is freed by closing connections that send one.
+// the one that has been idle longest, then one whose body takes longer than usual bodies do, and
+// then the one that has been waiting for its first head or sending one for longest. The memory of heads is freed by closing connections that send one.
 func (c *Core) victim(now time.Time, b Bound) *Entry {
 	waiting, idle, head := c.lists[New].first, c.lists[Idle].first, c.lists[Head].first
 	if b == BoundHeads {
@@ -213,6 +228,9 @@
 	if idle != nil {
 		return idle
 	}
+	if body := c.lists[Body].first; body != nil && now.Sub(body.since) >= slowBody {
+		return body
+	}
 	if head == nil || waiting != nil && waiting.since.Before(head.since) {
 		return waiting
 	}
--- a/internal/connection/core_test.go
+++ b/internal/connection/core_test.go
@@ -32,10 +32,13 @@
 	switch p {
 	case Head:
 		c.BeginHead(at(seconds), e)
+	case Body:
+		c.EndHead(at(seconds), e)
 	case Served:
-		c.Serve(at(seconds), e)
+		c.EndHead(at(seconds), e)
+		assert.Assert(t, c.Serve(at(seconds), e))
 	case Idle:
-		c.Serve(at(seconds), e)
+		c.EndHead(at(seconds), e)
 		c.Rest(at(seconds), e)
 	}
 	return e
@@ -73,6 +76,10 @@
 		{"silent new one before idle", []opened{{0, Idle}, {-1, New}, {-2, New}}, 1},
 		{"longest head", []opened{{0, Served}, {1, Head}, {2, Head}}, 1},
 		{"new before younger head", []opened{{0, Served}, {1, New}, {2, Head}}, 1},
+		{"slow body before head", []opened{{-1, Served}, {-1, Body}, {1, Head}}, 1},
+		{"head before body that is not slow", []opened{{-1, Served}, {0, Body}, {1, Head}}, 2},
+		{"idle before slow body", []opened{{-1, Body}, {1, Idle}}, 1},
+		{"bodies that are not slow", []opened{{0, Served}, {0, Body}}, -1},
 		{"all served", []opened{{0, Served}, {1, Served}}, -1},
 	}
 	for _, tt := range tests {
@@ -82,7 +89,7 @@
 			for _, o := range tt.opened {
 				all = append(all, open(t, c, o.second, o.phase))
 			}
-			c.Bounds.Memory = int64(len(all)*entryMemory + c.Count(Served)*servedMemory)
+			c.Bounds.Memory = int64(len(all)*entryMemory + (c.Count(Body)+c.Count(Served))*servedMemory)
 			e := c.Open(at(2.5), nil)
 			assert.Equal(t, e == nil, tt.want < 0)
 			got := closeAll(c.Excess, at(2.5))
@@ -125,7 +132,8 @@
 		c.GrowHead(e, 1000)
 		assertEntries(t, closeAll(c.Expired, at(100)), e)
 		c.GrowHead(e, 500)
-		c.Serve(at(100), e)
+		c.EndHead(at(100), e)
+		assert.Assert(t, c.Serve(at(100), e))
 		assert.Equal(t, c.Closing(), 0)
 		assert.Equal(t, c.readHeads, int64(1500))
 		c.Rest(at(101), e)
@@ -223,11 +231,14 @@
 	i := random.IntN(len(all))
 	switch e := all[i]; operation {
 	case 2:
-		if e.phase != Served {
+		if e.phase != Body && e.phase != Served {
 			c.BeginHead(now, e)
 			c.GrowHead(e, int64(random.IntN(1500)))
 		}
-	case 3, 4:
+	case 3:
+		c.EndHead(now, e)
+	case 4:
+		c.EndHead(now, e)
 		c.Serve(now, e)
 	case 5:
 		c.Rest(now, e)
@@ -248,7 +259,7 @@
 		case e.reason != none:
 			closing++
 			continue
-		case e.phase == Served:
+		case e.phase == Body || e.phase == Served:
 			read += e.head
 		default:
 			unread += e.head
@@ -275,8 +286,9 @@
 		c.BeginHead(now, e)
 		c.GrowHead(e, 2000)
 		c.Excess(now)
-		c.Serve(now, e)
+		c.EndHead(now, e)
 		c.Excess(now)
+		c.Serve(now, e)
 		c.Rest(now, e)
 	}
 }
--- a/internal/connection/crowd_test.go
+++ b/internal/connection/crowd_test.go
@@ -22,8 +22,12 @@
 	tracker.Init()
 	tracker.SetLimits(Limits{HeadBytes: 4096, HeadTimeout: 20 * time.Millisecond, IdleTimeout: time.Millisecond})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		if err != nil || !RequestRead(r.Context()) {
+			return
+		}
 		run.Add(1)
-		_, _ = io.Copy(w, r.Body)
+		_, _ = w.Write(b)
 	})}
 	tracker.Configure(s)
 	l, err := Listen("127.0.0.1:0")
--- a/internal/connection/entry.go
+++ b/internal/connection/entry.go
@@ -11,6 +11,8 @@
 	New Phase = iota
 	// Head is a connection on which a part of a head has been received.
 	Head
+	// Body is a connection whose head has been read, and whose body may still be arriving.
+	Body
 	// Served is a connection whose request has been read and is not answered.
 	Served
 	// Idle is a connection whose last request has been answered.
@@ -20,7 +22,7 @@
 	closed
 )
 
-var phaseNames = [phaseCount]string{"new", "head", "served", "idle"}
+var phaseNames = [phaseCount]string{"new", "head", "body", "served", "idle"}
 
 // String returns the name of the phase.
 func (p Phase) String() string {
@@ -44,8 +46,8 @@
 	ReasonLargeHead
 	// ReasonRoom is a connection that was closed for others.
 	ReasonRoom
-	// ReasonRefused is a connection that was closed as it was accepted, because all others
-	// were serving requests.
+	// ReasonRefused is a connection that was closed as it was accepted, because no other
+	// could be closed.
 	ReasonRefused
 	// ReasonOther is a connection that the caller closed, or that ended with an answer.
 	ReasonOther
--- a/internal/connection/tracker.go
+++ b/internal/connection/tracker.go
@@ -74,10 +74,26 @@
 // its limit for heads, are replaced by those of the tracker.
 func (t *Tracker) Configure(s *http.Server) {
 	s.ConnState = t.connState
+	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context { return context.WithValue(ctx, connKey{}, n) }
 	s.ReadHeaderTimeout, s.IdleTimeout = -1, -1
 	s.MaxHeaderBytes = serverHeadBytes
 }
 
+type connKey struct{}
+
+// RequestRead tells that the body of a request has been read. It returns false if the connection
+// is to be closed because the body took too long while there was no room for others; the request
+// must then be refused. The context is that of the request. Without a Tracker it returns true.
+func RequestRead(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return true
+	}
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.tracker.core.Serve(time.Now(), c.entry)
+}
+
 // Run closes connections that have been idle, or have been sending a head, for too long, until
 // ctx is done. It always returns nil.
 func (t *Tracker) Run(ctx context.Context) error {
@@ -107,8 +123,8 @@
 }
 
 // interrupt makes the reads of a connection fail. It does not close the connection, because a
-// request may have been read from it at this moment: then connState takes this back, and else
-// the server closes the connection.
+// head may have been read from it at this moment: then connState takes this back, and else the
+// server closes the connection. A request whose body was still arriving is refused.
 func (t *Tracker) interrupt(e *Entry) {
 	c := e.Owner.(*conn)
 	c.closing.Store(true)
@@ -132,7 +148,7 @@
 		return
 	}
 	t.short = b
-	fields := []any{"new", t.core.Count(New), "head", t.core.Count(Head), "served", t.core.Count(Served), "idle", t.core.Count(Idle), "upstreams", t.core.Upstreams}
+	fields := []any{"new", t.core.Count(New), "head", t.core.Count(Head), "body", t.core.Count(Body), "served", t.core.Count(Served), "idle", t.core.Count(Idle), "upstreams", t.core.Upstreams}
 	if b == 0 {
 		t.Log.Write(event.ConnectionsEnough, fields...)
 		return
@@ -148,19 +164,19 @@
 	}
 	switch s {
 	case http.StateActive:
-		t.serve(c)
+		t.endHead(c)
 	case http.StateIdle:
 		t.rest(c)
 	}
 }
 
-// serve tells that a request has been read from a connection, or that its head is invalid.
-func (t *Tracker) serve(c *conn) {
+// endHead tells that a head has been read from a connection, or that it is invalid.
+func (t *Tracker) endHead(c *conn) {
 	c.headBytes = 0
 	c.served.Store(true)
 	t.mu.Lock()
 	now := time.Now()
-	t.core.Serve(now, c.entry)
+	t.core.EndHead(now, c.entry)
 	c.closing.Store(false)
 	t.makeRoom(now)
 	t.mu.Unlock()
--- a/internal/connection/tracker_test.go
+++ b/internal/connection/tracker_test.go
@@ -232,7 +232,7 @@
 func TestRoom(t *testing.T) {
 	release := make(chan struct{})
 	wait := func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/wait" {
+		if r.URL.Path == "/wait" && RequestRead(r.Context()) {
 			<-release
 		}
 	}
@@ -312,3 +312,37 @@
 	defer f.tracker.mu.Unlock()
 	assert.Equal(f, strings.Count(f.log.String(), fmt.Sprintf("event=%d ", n)), want)
 }
+
+// Bodies that take too long must not keep new callers out. Their requests must be refused, and
+// one whose body has been read must be answered.
+func TestSlowBodiesMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		if kept := RequestRead(r.Context()); !kept || err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	}
+	withServer(t, Bounds{Memory: 2*(entryMemory+servedMemory) + 10<<10}, handle, func(f *fixture) {
+		release = make(chan struct{})
+		served, slow := f.dial(), f.dial()
+		f.send(served, "POST /wait HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+		f.send(slow, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc")
+		got, _ := f.untilClosed(f.dial())
+		assert.Equal(t, got, "")
+		time.Sleep(slowBody)
+		newer := f.dial()
+		got, took := f.untilClosed(slow)
+		assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 503 "), got)
+		assert.Assert(t, took <= lingerTime, "%s", took)
+		assert.Equal(t, f.request(newer, get), 200)
+		close(release)
+		r, err := http.ReadResponse(bufio.NewReader(served), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.StatusCode, 200)
+	})
+}
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jasminewing.dev/jasminewing/internal/connection"
 	"jasminewing.dev/jasminewing/internal/event"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
@@ -148,6 +149,11 @@
 	if interrupted := !release(); interrupted || !p.gateway.stop.allows(c.deadline) {
 		return stoppingError()
 	}
+	if !connection.RequestRead(r.Context()) {
+		e := result.Errorf(result.ConnectionsFull, "too many connections")
+		e.RetryAfter = placement.RetryAfter(c.timeoutOrDefault(), xxhash.Sum64String(string(c.ID)))
+		return e
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/process/scenario_test.go
+++ b/internal/process/scenario_test.go
@@ -58,6 +58,7 @@
 	result.UpstreamsPaused: "returned only by gateways without sidecars: internal/direct, statement_test.go",
 	result.HeadTooLarge:    "returned only by gateways without sidecars: internal/connection, tracker_test.go",
 	result.HeadTooSlow:     "returned only by gateways without sidecars: internal/connection, tracker_test.go",
+	result.ConnectionsFull: "returned only by gateways without sidecars: internal/direct, connection_test.go",
 	result.Internal:        "indicates a bug in the program; none is known",
 }
 
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -65,6 +65,7 @@
 	RetryBudget         Code = 3010
 	RoomReserved        Code = 3011
 	UpstreamsPaused     Code = 3012
+	ConnectionsFull     Code = 3021
 	NoUpstream          Code = 4001
 	UpstreamLeaving     Code = 4002
 	DataCentreOut       Code = 4003
--- a/pkg/result/info.go
+++ b/pkg/result/info.go
@@ -42,6 +42,7 @@
 	{RetryBudget, "retry_budget", 503, false, true, "the share of requests that may be retried is used up"},
 	{RoomReserved, "room_reserved", 503, true, true, "engines keep their free room for more urgent requests"},
 	{UpstreamsPaused, "upstreams_paused", 503, true, true, "each upstream of this service has asked for a pause"},
+	{ConnectionsFull, "connections_full", 503, true, true, "the gateway needed the connection for others, and the body was still arriving"},
 	{NoUpstream, "no_upstream", 503, true, true, "no upstream of this service takes work"},
 	{UpstreamLeaving, "upstream_leaving", 503, true, true, "the upstream is leaving"},
 	{DataCentreOut, "data_centre_out", 503, true, true, "the data centre is out"},
