Close expired connections to upstreams that are not used

A pool closed an expired connection only when it came to it, and reuses the one used last first. Connections of a past peak stayed open until the upstream's pool was used again, and they count towards the descriptors that callers can have. They are now closed within a second of their expiry.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -1,8 +1,11 @@
 package direct
 
 import (
+	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,6 +131,30 @@
 	return p
 }
 
+// closeInterval is how often connections to upstreams are closed that have been idle for too
+// long.
+const closeInterval = time.Second
+
+// Run closes connections to upstreams that have been idle for too long, until ctx is done. It
+// always returns nil.
+func (g *Gateway) Run(ctx context.Context) error {
+	t := time.NewTicker(closeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			g.mu.Lock()
+			pools := slices.Collect(maps.Values(g.pools))
+			g.mu.Unlock()
+			for _, p := range pools {
+				p.CloseExpired(now)
+			}
+		}
+	}
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -208,6 +208,7 @@
 		gr.run(c.Run)
 		gr.run(t.Run)
 		gr.run(conns.Run)
+		gr.run(g.Run)
 		gr.run(p.reportDroppedLines)
 		gr.run(func(ctx context.Context) error { return p.watchSettings(ctx, s) })
 	}))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -122,6 +123,20 @@
 	p.idle = nil
 }
 
+// CloseExpired closes the connections that have been idle for too long. Otherwise they would use
+// descriptors until the pool is used again, because the one used last is reused first.
+func (p *Pool) CloseExpired(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		expired := !now.Before(c.idleUntil)
+		if expired {
+			_ = c.Close()
+		}
+		return expired
+	})
+}
+
 // get returns a usable idle connection or opens a new one. If unused is set, the
 // connection has not been used before.
 func (p *Pool) get(ctx context.Context, unused bool) (*conn, error) {
