Merge the bounds on connections of callers

Cause: idle connections were kept for a minute whatever the table says, heads of 64 KB in any number; descriptors and memory ran out.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -1,9 +1,12 @@
 package direct
 
 import (
+	"context"
 	"io"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +63,9 @@
 
 	stop     stopState
 	inFlight atomic.Int64
-	metrics  metricSet
+	// openUpstreams is the number of open connections to upstreams.
+	openUpstreams atomic.Int64
+	metrics       metricSet
 
 	// loggedView is the last view whose changes were logged. Only ApplyView
 	// accesses it.
@@ -88,6 +93,9 @@
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// OpenUpstreams returns the number of open connections to upstreams.
+func (g *Gateway) OpenUpstreams() int { return int(g.openUpstreams.Load()) }
+
 // CountRefusal counts an error response in the refusals metric. It is exported
 // for input that is refused before it becomes a request.
 func (g *Gateway) CountRefusal(c result.Code) { g.metrics.refusal(c).Inc() }
@@ -126,12 +134,40 @@
 	k := u.Incarnation()
 	p := g.pools[k]
 	if p == nil {
-		p = &upstream.Pool{Address: u.Address, OnConnect: g.metrics.connections.Inc}
+		p = &upstream.Pool{
+			Address:   u.Address,
+			OnConnect: func() { g.openUpstreams.Add(1); g.metrics.connections.Inc() },
+			OnClose:   func() { g.openUpstreams.Add(-1) },
+		}
 		g.pools[k] = p
 	}
 	return p
 }
 
+// closeInterval is how often connections to upstreams are closed that have been idle for too
+// long.
+const closeInterval = time.Second
+
+// Run closes connections to upstreams that have been idle for too long, until ctx is done. It
+// always returns nil.
+func (g *Gateway) Run(ctx context.Context) error {
+	t := time.NewTicker(closeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			g.mu.Lock()
+			pools := slices.Collect(maps.Values(g.pools))
+			g.mu.Unlock()
+			for _, p := range pools {
+				p.CloseExpired(now)
+			}
+		}
+	}
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
--- a/internal/process/caller_listener.go
+++ b/internal/process/caller_listener.go
@@ -49,18 +49,19 @@
 }
 
 // attach adds hooks to a server so that the listener knows which connections have an
-// unanswered request, and returns the server. It keeps the hooks of the server.
+// unanswered request, and returns the server. It keeps the hooks of the server, which get the
+// connections that the listener inside has accepted.
 func (l *callerListener) attach(s *http.Server) *http.Server {
 	handler, connContext, connState := s.Handler, s.ConnContext, s.ConnState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
-			ctx = connContext(ctx, c)
+			ctx = connContext(ctx, c.(*callerConn).Conn)
 		}
 		return context.WithValue(ctx, callerConnKey{}, c)
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if connState != nil {
-			connState(c, state)
+			connState(c.(*callerConn).Conn, state)
 		}
 		switch state {
 		case http.StateActive:
@@ -117,8 +118,7 @@
 
 // setDeadline sets the deadline of Accept. A listener without deadlines is closed.
 func (l *callerListener) setDeadline(at time.Time) {
-	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
-		_ = d.SetDeadline(at)
+	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(at) == nil {
 		return
 	}
 	_ = l.closeLocked()
--- a/internal/process/caller_listener_test.go
+++ b/internal/process/caller_listener_test.go
@@ -7,12 +7,17 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
+
+	"jasminewing.dev/jasminewing/internal/connection"
+	"jasminewing.dev/jasminewing/internal/event"
 )
 
 const (
@@ -47,7 +52,7 @@
 // startEndTest serves one connection. onRead may be nil.
 func startEndTest(t *testing.T, h http.HandlerFunc, onRead func(*callerListener)) *endTest {
 	inner := &singleConnListener{make(chan net.Conn), make(chan struct{})}
-	e := &endTest{t: t, listener: newCallerListener(inner), served: make(chan error, 1)}
+	e := &endTest{t: t, listener: newTestListener(inner), served: make(chan error, 1)}
 	client, server := net.Pipe()
 	e.client, e.answers = client, bufio.NewReader(client)
 	_ = client.SetDeadline(time.Now().Add(time.Hour))
@@ -55,7 +60,7 @@
 	if onRead != nil {
 		c.onRead = func() { onRead(e.listener) }
 	}
-	s := e.listener.attach(newDirectServer(h))
+	s := e.listener.attach(newTestServer(e.listener, h))
 	go func() { e.served <- s.Serve(e.listener) }()
 	inner.conns <- c
 	synctest.Wait()
@@ -199,7 +204,7 @@
 func TestCallerListenerEndAcceptsWaitingConnections(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := newCallerListener(inner)
+	l := newTestListener(inner)
 	l.acceptTime = testTimeout
 	var clients []net.Conn
 	for range 3 {
@@ -211,7 +216,7 @@
 		clients = append(clients, c)
 	}
 	l.end()
-	assert.ErrorIs(t, l.attach(newDirectServer(http.HandlerFunc(closingHandler))).Serve(l), http.ErrServerClosed)
+	assert.ErrorIs(t, l.attach(newTestServer(l, http.HandlerFunc(closingHandler))).Serve(l), http.ErrServerClosed)
 	for _, c := range clients {
 		_ = c.SetDeadline(time.Now().Add(testTimeout))
 		a, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -226,8 +231,8 @@
 func TestCallerConnCanBeReset(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := newCallerListener(inner)
-	s := l.attach(newDirectServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	l := newTestListener(inner)
+	s := l.attach(newTestServer(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
@@ -256,8 +261,8 @@
 func TestCallerListenerEndsWhileConnectionsCome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := &endlessListener{}
-		l := newCallerListener(inner)
-		s := l.attach(newDirectServer(http.HandlerFunc(closingHandler)))
+		l := newTestListener(inner)
+		s := l.attach(newTestServer(l, http.HandlerFunc(closingHandler)))
 		begin := time.Now()
 		l.end()
 		assert.ErrorIs(t, s.Serve(l), http.ErrServerClosed)
@@ -291,3 +296,20 @@
 	l.deadline = at
 	return nil
 }
+
+// testTrackers holds the tracker inside each listener of these tests, which is there in the
+// program too. Nothing runs it, so it closes no connection for its time.
+var testTrackers sync.Map
+
+func newTestListener(inner net.Listener) *callerListener {
+	t := &connection.Tracker{Bounds: connection.NewBounds(1<<30, 0), Log: &event.Log{Logger: log.New(io.Discard)}}
+	t.Init()
+	l := newCallerListener(t.Listener(inner))
+	testTrackers.Store(l, t)
+	return l
+}
+
+func newTestServer(l *callerListener, h http.Handler) *http.Server {
+	t, _ := testTrackers.Load(l)
+	return newDirectServer(h, t.(*connection.Tracker))
+}
--- a/internal/process/direct_stop_test.go
+++ b/internal/process/direct_stop_test.go
@@ -65,8 +65,8 @@
 				g := &direct.Gateway{Callers: stopProtocol{}, Catalog: emptyCatalog{}, Scheduler: &placement.Scheduler{}}
 				g.Init()
 				inner := &singleConnListener{make(chan net.Conn), make(chan struct{})}
-				l := newCallerListener(inner)
-				s := l.attach(newDirectServer(g))
+				l := newTestListener(inner)
+				s := l.attach(newTestServer(l, g))
 				// The head takes longer than a head of an ordinary caller may take.
 				s.ReadHeaderTimeout = 0
 				go func() { _ = s.Serve(l) }()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -57,8 +58,9 @@
 	Address string
 	// Dial opens a connection; if nil, the pool dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// OnConnect is called after each new connection is opened; it may be nil.
-	OnConnect func()
+	// OnConnect is called after each new connection is opened, and OnClose after it is closed;
+	// they may be nil.
+	OnConnect, OnClose func()
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -80,6 +82,17 @@
 	opened    time.Time
 	idleUntil time.Time
 	used      bool
+	onClose   func()
+	closeOnce sync.Once
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	if c.onClose != nil {
+		c.closeOnce.Do(c.onClose)
+	}
+	return err
 }
 
 // limitedReader reads at most left bytes. Unlike io.LimitedReader it fails after them.
@@ -110,6 +123,20 @@
 	p.idle = nil
 }
 
+// CloseExpired closes the connections that have been idle for too long. Otherwise they would use
+// descriptors until the pool is used again, because the one used last is reused first.
+func (p *Pool) CloseExpired(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		expired := !now.Before(c.idleUntil)
+		if expired {
+			_ = c.Close()
+		}
+		return expired
+	})
+}
+
 // get returns a usable idle connection or opens a new one. If unused is set, the
 // connection has not been used before.
 func (p *Pool) get(ctx context.Context, unused bool) (*conn, error) {
@@ -155,7 +182,7 @@
 		p.OnConnect()
 	}
 	l := &limitedReader{source: c}
-	return &conn{Conn: c, limited: l, reader: bufio.NewReaderSize(l, readBufferSize), opened: time.Now()}, nil
+	return &conn{Conn: c, limited: l, reader: bufio.NewReaderSize(l, readBufferSize), opened: time.Now(), onClose: p.OnClose}, nil
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -51,6 +51,8 @@
 	BadBody             Code = 2011
 	CallerGone          Code = 2012
 	BadAdminToken       Code = 2013
+	HeadTooLarge        Code = 2021
+	HeadTooSlow         Code = 2022
 	AccountRate         Code = 3001
 	AccountTokens       Code = 3002
 	AccountInFlight     Code = 3003
@@ -64,6 +66,7 @@
 	RoomReserved        Code = 3011
 	UpstreamsPaused     Code = 3012
 	MemoryFull          Code = 3013
+	ConnectionsFull     Code = 3021
 	NoUpstream          Code = 4001
 	UpstreamLeaving     Code = 4002
 	DataCentreOut       Code = 4003
