Add the command explain

Cause: operators could see afterwards where a request went, but not where it would go now, nor why an upstream is left out.

Change: a direct gateway answers POST /explain on its metrics listener with the decision for the request in the body, the load, expected wait and cost of each upstream of the service, and why it is left out. Nothing is sent, and the decision changes no state. jasminewing explain prints it.

--- a/cmd/jasminewing/exit.go
+++ b/cmd/jasminewing/exit.go
@@ -15,7 +15,7 @@
 	exitOK     = 0
 	exitFailed = 1
 	// exitUsage also covers bad settings, files that cannot be read and, for the
-	// subcommand status, a process that cannot be queried.
+	// subcommands status and explain, a process that cannot be queried.
 	exitUsage = 2
 )
 
--- a/cmd/jasminewing/main.go
+++ b/cmd/jasminewing/main.go
@@ -50,6 +50,7 @@
 	directSubcommand,
 	demoSubcommand,
 	statusSubcommand,
+	explainSubcommand,
 	checkSubcommand,
 	codesSubcommand,
 	eventsSubcommand,
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -178,6 +178,13 @@
 	return sched.Core.CrossingShares()
 }
 
+// Explain returns where the request would be sent if it arrived now, without sending it.
+func (sched *Scheduler) Explain(r *Request) Explanation {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	return sched.Core.Explain(time.Now(), r)
+}
+
 // Loads returns the load that this gateway has in flight per upstream, to be
 // reported to the other gateways.
 func (sched *Scheduler) Loads() map[LoadKey]Load {
--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -203,10 +203,13 @@
 }
 
 func metricsHandler(g *direct.Gateway) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	m := http.NewServeMux()
+	m.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		g.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	m.HandleFunc("/explain", g.ServeExplain)
+	return m
 }
 
 func (p *Direct) readyHandler(g *direct.Gateway) http.Handler {
