Placement: let requests without an objective leave

Cause: the fraction of the allowed wait was zero divided by zero for a route without an objective, so its requests were refused while another data centre had room.

Change: such requests count as having waited for all of it. Services of engines are told by their configuration, not by the prompt of a request.

Measured: TestWithoutObjectiveLeavesAtOnce fails without the change.

--- a/internal/placement/crossing.go
+++ b/internal/placement/crossing.go
@@ -90,7 +90,7 @@
 	if plan.unlimited = c.unlimitedCrossing(now, s, r); plan.unlimited != Stayed || s.hasRoom(c, now, r, l) {
 		return
 	}
-	if len(r.Prompt) > 0 {
+	if s.hasEngines() {
 		// Among engines the cost, which follows their load, decides.
 		plan.service = s
 		return
@@ -100,7 +100,10 @@
 		s.share = shareStep
 	}
 	// A request that has waited for long is about to be refused, whatever its draw.
-	waited := float64(now.Sub(w.since)) / (maxWaitFraction * float64(r.Objective))
+	waited := 1.0
+	if r.Objective > 0 {
+		waited = float64(now.Sub(w.since)) / (maxWaitFraction * float64(r.Objective))
+	}
 	if w.draw < s.share+waited && c.crossingPays(now, s, r, waited) {
 		plan.service = s
 	}
--- a/internal/placement/crossing_quota.go
+++ b/internal/placement/crossing_quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"jasminewing.dev/jasminewing/internal/route"
@@ -98,8 +99,13 @@
 	return false
 }
 
-// indexCrossings groups the members by service and data centre. Shares and requests in
-// flight are kept.
+// hasEngines reports whether it is a service of model engines.
+func (s *crossingService) hasEngines() bool {
+	return slices.ContainsFunc(s.home, func(m *member) bool { return m.service != nil && m.service.Engine != nil })
+}
+
+// indexCrossings groups the members by service and data centre. Shares and quotas are
+// kept.
 func (c *Core) indexCrossings() {
 	before := c.crossings.services
 	c.crossings.services = make(map[route.ServiceName]*crossingService)
--- a/internal/placement/crossing_test.go
+++ b/internal/placement/crossing_test.go
@@ -319,6 +319,19 @@
 	assert.Assert(t, waited[600] == 0 && waited[30_000] > 0 && waited[100_000] >= waited[30_000], "%v", waited)
 }
 
+// A route without an objective gives its requests no time to wait: they must leave at once
+// rather than be refused.
+func TestWithoutObjectiveLeavesAtOnce(t *testing.T) {
+	c := plainCore(t, start, 8, 0)
+	now := start.Add(crossingInterval)
+	tellPlain(c, now, 8, 0)
+	effects := c.Handle(now, Enqueue{1, Request{Service: "desk", Deadline: now.Add(time.Second), Bytes: 600}})
+	assert.Equal(t, len(effects), 1)
+	g, ok := effects[0].(Grant)
+	assert.Assert(t, ok, "%v", effects)
+	assert.Equal(t, g.Crossing, CrossedForRoom)
+}
+
 // Long prompts go to their preferred engine in any data centre. Short ones stay while an
 // engine in theirs has room.
 func TestPreferenceByPromptStays(t *testing.T) {
