--- a/internal/process/direct.go
+++ b/internal/process/direct.go
@@ -217,11 +217,14 @@
 }
 
 func metricsHandler(g *direct.Gateway, conns *connection.Tracker) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	m := http.NewServeMux()
+	m.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		g.WriteMetrics(w)
 		conns.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	m.HandleFunc("/explain", g.ServeExplain)
+	return m
 }
 
 func (p *Direct) readyHandler(g *direct.Gateway, t *roster.Task) http.Handler {
