--- a/internal/placement/explain_test.go
+++ b/internal/placement/explain_test.go
@@ -46,7 +46,7 @@
 	v.Upstreams[0].Leaving = true
 	v.DataCentresOut["b"] = true
 	c := newCore(v, 5)
-	c.Handle(start, PeerLoads{"peer", map[LoadKey]Load{LoadKeyOf("e03"): {InFlight: 64}}})
+	c.Handle(start, PeerLoads{Gateway: "peer", Loads: map[LoadKey]Load{LoadKeyOf("e03"): {InFlight: 64}}})
 	r := question(1)
 	r.Tried = []route.UpstreamID{"e06"}
 	x := c.Explain(start, &r)
