--- a/internal/roster/exchange_test.go
+++ b/internal/roster/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -70,8 +71,13 @@
 func suspicionCount(g *Task) int { return len(g.Suspects.Snapshot(time.Now())) }
 
 // Suspicions are sent once to each gateway, and all of them to a gateway that has
-// restarted. Later exchanges are as small as before.
+// restarted. Later exchanges are as small as before. Suspicions older than 60 ms are left to
+// repairs, so the test runs in virtual time.
 func TestSuspicionsAreSentOnce(t *testing.T) {
+	synctest.Test(t, testSuspicionsAreSentOnce)
+}
+
+func testSuspicionsAreSentOnce(t *testing.T) {
 	one, other := newGateway(1, "a"), newGateway(2, "b")
 	one.init()
 	one.addPeer(other.Self)
