Placement: waiting requests take turns by client account

Waiting requests of one rank went by arrival alone, so an account at ten times its usual load took places in proportion to what it asked for.

Within a rank and service, the account with the least work in flight and lately ended goes next, oldest request first. An account that was granted nothing since its oldest request arrived goes ahead once that request has waited for 0.6 of its allowed wait. With one account, or none, the order is by arrival as before. Grants ahead of an older request of another account are counted in jasminewing_direct_overtakings_total.

TestExplain of internal/direct panics with and without this change.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -165,7 +165,7 @@
 func (a *attempt) recordResult(outcome placement.Outcome, detail string) {
 	a.attempts = append(a.attempts, attemptResult{
 		upstream: a.grant.Upstream.ID, outcome: outcome, took: time.Since(a.started),
-		waited: a.waited, expected: a.grant.Expected, crossing: a.grant.Crossing, detail: detail, answer: a.answer, skipped: a.exchange.Skipped,
+		waited: a.waited, expected: a.grant.Expected, crossing: a.grant.Crossing, overtook: a.grant.Overtook, detail: detail, answer: a.answer, skipped: a.exchange.Skipped,
 	})
 }
 
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -21,12 +21,15 @@
 	// answersSkipped counts answers that can't be shown to belong to the request on
 	// their connection.
 	answersSkipped *metrics.Counter
+	// overtakings counts grants given ahead of an older request of another client account.
+	overtakings *metrics.Counter
 }
 
 func (m *metricSet) init(g *Gateway) {
 	m.set = metrics.NewSet()
 	m.connections = m.set.NewCounter("jasminewing_direct_connections_total")
 	m.answersSkipped = m.set.NewCounter("jasminewing_direct_answers_skipped_total")
+	m.overtakings = m.set.NewCounter("jasminewing_direct_overtakings_total")
 	m.set.NewGauge("jasminewing_direct_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("jasminewing_direct_table_revision", func() float64 { return float64(g.Catalog.View().Revision) })
 	m.set.NewGauge("jasminewing_direct_state_behind_seconds", func() float64 { return g.Catalog.Stats().Behind.Seconds() })
@@ -111,6 +114,9 @@
 		if a.crossing != placement.Stayed {
 			m.crossings(a.crossing).Inc()
 		}
+		if a.overtook {
+			m.overtakings.Inc()
+		}
 		if a.answer != nil {
 			m.answers(a.answer.framing, a.answer.how).Inc()
 		}
--- a/internal/direct/proxied_request.go
+++ b/internal/direct/proxied_request.go
@@ -90,6 +90,8 @@
 	waited, expected time.Duration
 	// crossing is why the upstream was in another data centre.
 	crossing placement.CrossingReason
+	// overtook reports that an older request of another client account still waited.
+	overtook bool
 	detail   string
 	// answer describes the upstream's answer; nil if none began.
 	answer *answerEnd
@@ -304,6 +306,9 @@
 		OutputTokens: c.expectedOutput(),
 		Bytes:        int(p.body.Len()) + bytesPerOutputToken*c.expectedOutput(),
 	}
+	if c.account != nil {
+		q.Account = c.account.Name
+	}
 	for _, a := range p.attempts {
 		q.Tried = append(q.Tried, a.upstream)
 	}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -1,14 +1,12 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"jasminewing.dev/jasminewing/internal/route"
-	"jasminewing.dev/jasminewing/pkg/result"
 )
 
 const (
@@ -49,6 +47,10 @@
 	// which may lapse and come back.
 	statements map[route.Incarnation]*incarnationState
 	waiting    []*waitingRequest
+	// shares holds what client accounts use, and keptShares the number of shares after idle
+	// ones were last removed.
+	shares     map[shareKey]*share
+	keptShares int
 	// lastScheduled is when the waiting requests were last considered.
 	lastScheduled time.Time
 	assignments   map[Ticket]*assignment
@@ -80,16 +82,6 @@
 	speeds map[LoadKey]Speed
 }
 
-// waitingRequest is a queued request.
-type waitingRequest struct {
-	ticket  Ticket
-	request Request
-	since   time.Time
-	// draw is a random number from 0 to 1. The request may leave the data centre if the
-	// share of requests that do is above it.
-	draw float64
-}
-
 // assignment is a request that was sent to an upstream.
 type assignment struct {
 	member *member
@@ -107,6 +99,7 @@
 	// one whose quota it counts towards, or nil.
 	crossing    CrossingReason
 	destination *destination
+	share       *share
 }
 
 // Handle processes one message and returns the resulting effects.
@@ -149,23 +142,6 @@
 	return out
 }
 
-// admitAtOnce decides about a new request that no other request waits ahead of, or
-// queues it. It returns nil if the request waits.
-func (c *Core) admitAtOnce(now time.Time, m Enqueue) Effect {
-	c.countTier(now, &m.Request)
-	w := &waitingRequest{ticket: m.Ticket, request: m.Request, since: now, draw: float64(c.hash(^uint64(m.Ticket))>>11) / (1 << 53)}
-	ahead := func(o *waitingRequest) bool {
-		return o.request.Service == m.Request.Service && o.request.Rank <= m.Request.Rank
-	}
-	if !slices.ContainsFunc(c.waiting, ahead) {
-		if e := c.decide(now, w, map[capacityClass]bool{}); e != nil {
-			return e
-		}
-	}
-	c.waiting = append(c.waiting, w)
-	return nil
-}
-
 func (c *Core) init() {
 	if c.members == nil {
 		c.members = make(map[route.UpstreamID]*member)
@@ -176,6 +152,7 @@
 		c.speeds = make(map[route.ServiceName]*serviceSpeed)
 		c.peerSpeeds = make(map[LoadKey]Speed)
 		c.statements = make(map[route.Incarnation]*incarnationState)
+		c.shares = make(map[shareKey]*share)
 	}
 }
 
@@ -235,6 +212,7 @@
 		c.markStarted(now, t, o == Served)
 	}
 	delete(c.assignments, t)
+	a.share.end(now, workOf(a), o != Withdrawn)
 	c.observePace(now, a, o)
 	m := a.member
 	m.inFlight--
@@ -256,80 +234,6 @@
 	t.pace.observe(now.Sub(a.sent), a.deadline.Sub(a.sent))
 }
 
-// schedule grants upstreams to waiting requests, in order of rank and then of
-// arrival, and refuses those that have waited too long.
-func (c *Core) schedule(now time.Time) []Effect {
-	if len(c.waiting) == 0 {
-		return nil
-	}
-	c.expirePeerReports(now)
-	slices.SortStableFunc(c.waiting, func(a, b *waitingRequest) int {
-		return cmp.Or(cmp.Compare(a.request.Rank, b.request.Rank), a.since.Compare(b.since))
-	})
-	var out []Effect
-	remaining := c.waiting[:0]
-	full := make(map[capacityClass]bool)
-	for _, w := range c.waiting {
-		e := c.decide(now, w, full)
-		if e == nil {
-			remaining = append(remaining, w)
-			continue
-		}
-		out = append(out, e)
-	}
-	clear(c.waiting[len(remaining):])
-	c.waiting = remaining
-	return out
-}
-
-// decide returns the effect for a waiting request, or nil if it keeps waiting. Classes
-// in full are known to have no room; decide adds to them.
-func (c *Core) decide(now time.Time, w *waitingRequest, full map[capacityClass]bool) Effect {
-	r := &w.request
-	class := capacityClass{r.Service, r.Rank}
-	if !full[class] {
-		l := c.limitsFor(class, r.Objective)
-		c.planCrossing(now, w, l)
-		if ch := c.choose(now, r, l); ch.member != nil {
-			if reason, ok := c.mayPlace(ch.member, r); ok {
-				c.assign(now, w, ch, reason)
-				return Grant{w.ticket, ch.member.upstream, ch.expected, ch.kvSource(), reason}
-			}
-		}
-		full[class] = !c.hasRoom(class, l)
-	}
-	maxWait := time.Duration(maxWaitFraction * float64(r.Objective))
-	if pause := c.pauseLeft(now, r.Service); pause > 0 && now.Add(pause).After(earlier(w.since.Add(maxWait), r.Deadline.Add(-minTimeLeft))) {
-		return Refuse{w.ticket, result.UpstreamsPaused, pause + c.returnSpread()}
-	}
-	if now.Sub(w.since) >= maxWait || r.Deadline.Sub(now) < minTimeLeft {
-		return Refuse{w.ticket, c.refusalCode(r), RetryAfter(r.Deadline.Sub(now), c.nextRandom())}
-	}
-	return nil
-}
-
-// refusalCode returns the result code for a request that no upstream could take.
-func (c *Core) refusalCode(r *Request) result.Code {
-	if c.limitsFor(capacityClass{r.Service, r.Rank}, r.Objective).batchShare < 1 &&
-		c.hasRoom(capacityClass{r.Service, r.Rank}, limits{batchShare: 1}) {
-		return result.RoomReserved
-	}
-	for _, m := range c.members {
-		if m.upstream.Service == r.Service && !m.leaving() {
-			return result.QueueFull
-		}
-	}
-	return result.NoUpstream
-}
-
-// RetryAfter returns the delay after which a refused caller may retry, given the
-// time left until its deadline. The random number, which differs between callers,
-// adds jitter: the delay is between 0.5 and 1.5 times the base delay.
-func RetryAfter(left time.Duration, random uint64) time.Duration {
-	wait := min(time.Duration(retryAfterFraction*float64(left)), maxRetryAfter)
-	return max(wait/2+time.Duration(random%1000)*wait/1000, 0)
-}
-
 // nextRandom returns the next number of a pseudo-random sequence that differs
 // between gateways.
 func (c *Core) nextRandom() uint64 {
@@ -359,6 +263,8 @@
 	m.unanswered[w.ticket] = a
 	m.cache.add(w.request.Prompt)
 	m.recordColdAttempt(now, c.coldSchedule())
+	a.share = c.shareOf(now, &w.request)
+	a.share.begin(now, workOf(a))
 	c.assignments[w.ticket] = a
 	c.crossingBegins(a)
 	c.tiers[w.request.Service].granted(w.request.Rank)
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -14,7 +14,8 @@
 	Upstream route.UpstreamID
 	// Crossing is why it is in another data centre.
 	Crossing CrossingReason
-	// Ahead is the number of waiting requests that would be placed first.
+	// Ahead is the number of waiting requests that may be placed first. Those of client
+	// accounts that use more are placed later.
 	Ahead int
 	// Share is the share of requests without room in their data centre that may leave it.
 	Share      float64
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -44,8 +44,11 @@
 
 // Request holds the properties of a request that affect its placement.
 type Request struct {
-	Service   route.ServiceName
-	Rank      route.Rank
+	Service route.ServiceName
+	Rank    route.Rank
+	// Account is the client account, or empty for callers that have none, which share their
+	// turns.
+	Account   route.AccountName
 	Objective time.Duration
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Time
@@ -198,6 +201,8 @@
 	KVSource string
 	// Crossing is why the upstream is in another data centre than the gateway.
 	Crossing CrossingReason
+	// Overtook reports that an older request of another client account still waits.
+	Overtook bool
 }
 
 // Refuse rejects a request that has not been sent.
