--- a/internal/direct/explain.go
+++ b/internal/direct/explain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"jasminewing.dev/jasminewing/internal/memory"
 	"jasminewing.dev/jasminewing/internal/placement"
 	"jasminewing.dev/jasminewing/internal/route"
 	"jasminewing.dev/jasminewing/internal/wire"
@@ -87,7 +88,7 @@
 		return nil, err
 	}
 	c.identity = &wire.Offer{}
-	q := (&proxiedRequest{gateway: g, call: c}).placementRequest()
+	q := (&proxiedRequest{gateway: g, call: c, body: &memory.Buffer{}}).placementRequest()
 	q.Bytes += int(max(r.ContentLength, 0))
 	x := g.Scheduler.Explain(&q)
 	out := &Explanation{
