Keep two engines for short prompts in small data centres

Cause: with 128 slots a batch, a data centre of five engines reserved one of them instead of two, and a crash of it breaks all streams of short prompts. Change: two stay reserved where the larger fraction gives two.

--- a/internal/placement/preference.go
+++ b/internal/placement/preference.go
@@ -23,6 +23,9 @@
 	maxShortEngineFraction, minShortEngineFraction = 0.4, 0.25
 	// shortEngineSlots is in slots of a batch.
 	shortEngineSlots = 64
+	// minShortEngines is reserved if maxShortEngineFraction allows it. A crash of the only
+	// one would break all streams of short prompts.
+	minShortEngines = 2
 )
 
 // preference holds the preferred engines for a prompt. First and second choice are
@@ -143,10 +146,13 @@
 	return service != nil && service.Engine != nil && service.Engine.BatchSize > shortEngineSlots
 }
 
-// shortEngineFraction returns the fraction of engines that is reserved for short prompts.
-func shortEngineFraction(e *route.Engine) float64 {
+// shortEngines returns the number of engines of a data centre that are reserved for short
+// prompts.
+func shortEngines(engines int, e *route.Engine) int {
 	fraction := maxShortEngineFraction * shortEngineSlots / float64(max(e.BatchSize, 1))
-	return min(max(fraction, minShortEngineFraction), maxShortEngineFraction)
+	fraction = min(max(fraction, minShortEngineFraction), maxShortEngineFraction)
+	most := int(maxShortEngineFraction * float64(engines))
+	return max(int(fraction*float64(engines)), min(most, minShortEngines), 1)
 }
 
 // reserveShortEngines reserves engines for short prompts: shortEngineFraction of
@@ -170,7 +176,7 @@
 			continue
 		}
 		slices.SortFunc(group, func(a, b *member) int { return cmp.Compare(reservationHash(a), reservationHash(b)) })
-		for _, m := range group[:max(int(shortEngineFraction(group[0].service.Engine)*float64(len(group))), 1)] {
+		for _, m := range group[:shortEngines(len(group), group[0].service.Engine)] {
 			m.reservedForShort = true
 		}
 	}
