--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -90,7 +90,10 @@
 		mean = s.mean
 	}
 	m.slowdown = min(max(math.Exp(mean+relative), minSlowdown), maxSlowdown)
-	if n >= minSpeedObservations && math.Abs(m.logWeight+relative) > minSpeedChange {
+	// Engines with small batches keep equal shares of the prompt parts: moving parts for
+	// differences that are mostly queueing cost more there than it brought.
+	large := m.service != nil && m.service.Engine != nil && m.service.Engine.BatchSize > shortEngineSlots
+	if large && n >= minSpeedObservations && math.Abs(m.logWeight+relative) > minSpeedChange {
 		m.logWeight = speedStep * math.Round(-relative/speedStep)
 		m.weight = math.Exp(m.logWeight)
 		c.reweighed = append(c.reweighed, Weighed{m.upstream.ID, m.weight, m.slowdown})
