--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,6 +15,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -75,10 +77,13 @@
 	}
 	defer r.close()
 	s := &scene{trouble: os.Getenv("TROUBLE") != "0", folder: folder, record: r}
-	defer func() {
-		for _, g := range s.gateways {
-			g.kill()
-		}
+	defer s.end()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		s.end()
+		os.Exit(notRun)
 	}()
 	status, err := cases[os.Args[1]](s)
 	if err != nil {
@@ -89,6 +94,13 @@
 	return status
 }
 
+// end kills the gateways.
+func (s *scene) end() {
+	for _, g := range s.gateways {
+		g.kill()
+	}
+}
+
 // open starts the store, the replicas and the gateways, and waits until all gateways are ready.
 func (s *scene) open(gateways, replicas int) error {
 	network, err := freeNetwork(gateways)
