Refuse answers with a status below 100

Callers would see: an upstream in trouble answers with status 000. It was not passed on, but taken for an interim answer: the gateway waited for another head until the deadline, or passed on whatever followed on the connection as the answer.

Cause: net/http accepts any three characters that make a number of at least 0, so 000, 099, -00 and +20 too, and readHead reads on after each status below 200.

Change: CheckHead, which readHead calls for every head, interim ones too, refuses a status below 100. The caller gets 4008, may have run, or the request is sent again as its route allows. The text of 4008 says now that the answer may also be unreadable.

Refusals by such a head promise nothing: not_run is false. Already handled: the engine client of sidecars refuses a status below 200; its test passes without a change.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -214,6 +214,9 @@
 		c.limited.left, c.limited.lines = maxHeadSize, maxHeadLines
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		c.limited.left, c.limited.lines = math.MaxInt64, math.MaxInt
+		if err == nil {
+			err = CheckHead(resp)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
--- a/pkg/result/info.go
+++ b/pkg/result/info.go
@@ -51,7 +51,7 @@
 	{UpstreamUnhealthy, "upstream_unhealthy", 503, true, true, "the upstream's health answer is not good"},
 	{UpstreamRefused, "upstream_refused", 503, true, true, "the upstream said that it did not run the request"},
 	{UpstreamFailed, "upstream_failed", 502, false, true, "the upstream answered with a failure"},
-	{UpstreamCutOff, "upstream_cut_off", 502, false, true, "the upstream's answer ended before its end mark"},
+	{UpstreamCutOff, "upstream_cut_off", 502, false, true, "the upstream's answer ended before its end mark, or could not be read"},
 	{UpstreamBadStream, "upstream_bad_stream", 502, false, true, "the upstream's stream is not what was expected"},
 	{UpstreamUnreached, "upstream_unreached", 503, true, true, "no connection to the upstream could be made"},
 	{SidecarUnreached, "sidecar_unreached", 503, true, true, "no connection to the sidecar could be made"},
