Refuse answers with an invalid field name

Callers would see: an upstream in trouble sends a head in which the name of a field holds a blank. The answer was passed on with 200, and if that field was the length or the encoding, with a body that was not the upstream's, such as chunk sizes.

Cause: net/http accepts blanks in and after a name and keeps the field under a name that nothing looks up. A line that begins with a blank becomes a part of the value before it, so that it hides a length or an encoding in the same way. All other bytes that are no part of a token are refused by net/http, a tab before the colon among them.

Change: CheckHead refuses such names, for direct gateways in readOneHead and for all other HTTP clients of the product in transfer.Transport. The scanner that bounded the lines of engines' heads moves to package upstream, serves Exchange too and refuses continued lines; it sees heads that are already buffered, as after an interim or a skipped answer.

The tests try each byte that is no part of a token at three places of a name. Sound heads with blanks in values and bodies, interim answers and skipped answers pass. Not changed: the store, the configuration service and status join continued lines, which RFC 9112 allows and which cannot change what they believe: their bodies are whole JSON, or must mark their own end.

--- a/internal/direct/malformed_head_test.go
+++ b/internal/direct/malformed_head_test.go
@@ -65,3 +65,22 @@
 		testMalformedHead(t, head)
 	}
 }
+
+// Guards against a field whose name is no token, and that may be the length or the encoding of the
+// body, or a header that says whose answer it is.
+func TestFieldNameThatIsNoTokenReachesNoCaller(t *testing.T) {
+	const identified = "HTTP/1.1 200 X\r\nId: ID\r\nSigned: 1\r\n"
+	for _, line := range []string{
+		"X Y: z", "X : z", "X\t: z", "X\tY: z", "X\x00: z", "X\x1b: z", "X\r: z", "X\x7f: z", "X(: z", "X\xe9: z", ": z", "X",
+		"Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked",
+		// A line that begins with a blank continues the one before it.
+		" X: z", "\tX: z", " Content-Length: 2", "\tTransfer-Encoding: chunked", " ",
+	} {
+		testMalformedHead(t, identified+line+"\r\n")
+		testMalformedHead(t, identified+line+"\r\nContent-Length: 2\r\n")
+		testMalformedHead(t, "HTTP/1.1 200 X\r\n"+line+"\r\nId: ID\r\nSigned: 1\r\nContent-Length: 2\r\n")
+		testMalformedHead(t, "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n"+line+"\r\nContent-Length: 0\r\n")
+		testMalformedHead(t, "HTTP/1.1 103 X\r\nX: y\r\n"+line+"\r\n")
+	}
+	testMalformedHead(t, "HTTP/1.1 200 X\r\nId : ID\r\nSigned: 1\r\nContent-Length: 2\r\n")
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -24,7 +24,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -67,7 +66,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once      sync.Once
-	transport *http.Transport
+	transport *transfer.Transport
 }
 
 var errSilent = errors.New("upstream silent for too long")
--- a/internal/engine/endless_answer_test.go
+++ b/internal/engine/endless_answer_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"jasminewing.dev/jasminewing/internal/transfer"
+	"jasminewing.dev/jasminewing/internal/upstream"
 	"jasminewing.dev/jasminewing/pkg/result"
 	"jasminewing.dev/jasminewing/pkg/table"
 )
@@ -105,7 +106,7 @@
 // A head of as many lines as allowed is read in whatever pieces, and lines of the body don't count.
 func TestLongestHeadIsRead(t *testing.T) {
 	const body = "\n\n\n\n\n"
-	head := "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n" + strings.Repeat("X: y\r\n", maxHeadLines-2) + "\r\n"
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n" + strings.Repeat("X: y\r\n", upstream.MaxHeadLines-2) + "\r\n"
 	text := "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + head + strings.Repeat(body, 200)
 	for _, size := range []int{1, 2, 3, 7, 4 << 10} {
 		c := &Client{Address: "127.0.0.1:1", Dial: func(context.Context, string, string) (net.Conn, error) {
--- a/internal/engine/malformed_head_test.go
+++ b/internal/engine/malformed_head_test.go
@@ -38,3 +38,20 @@
 		testMalformedHead(t, "HTTP/1.1 "+status+"\r\nNot-Run: true\r\nContent-Length: 27\r\n")
 	}
 }
+
+// Guards against a field that is passed on under a name that is no token.
+func TestFieldNameThatIsNoTokenIsNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"X Y: z", "X : z", "X\t: z", "X\x00: z", "X\x7f: z", ": z", "Content Length: 3", "Content-Length : 3",
+		" X: z", "\tX: z", " Transfer-Encoding: chunked",
+	} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\nContent-Length: 27\r\n" + line + "\r\n",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 27\r\n",
+			"HTTP/1.1 503 X\r\nNot-Run: true\r\n" + line + "\r\nContent-Length: 27\r\n",
+			"HTTP/1.1 404 X\r\nContent-Length: 27\r\n" + line + "\r\n",
+		} {
+			testMalformedHead(t, head)
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -84,8 +84,6 @@
 	errUnrelatedResponse = errors.New("the answer belongs to another request")
 	// errHeadTooLarge is returned if a response head exceeds maxHeadSize.
 	errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHeadSize)
-	// errHeadTooLong is returned if a response head has more lines than maxHeadLines.
-	errHeadTooLong = fmt.Errorf("the head of the answer has over %d lines", maxHeadLines)
 	// errInformational is returned for interim responses that don't end, and for a
 	// change of the protocol.
 	errInformational = errors.New("too many interim answers, or a change of protocol")
@@ -101,10 +99,6 @@
 	maxInterimResponses = 8
 	// maxHeadSize is the maximum size in bytes of a response head.
 	maxHeadSize = 64 << 10
-	// maxHeadLines is the maximum number of lines of a response head. Many short lines take
-	// several times the memory of their text: with 64 KB of them in each answer, a VM of
-	// 144 MB used 205 MB.
-	maxHeadLines = 256
 	// maxSkippedSize is the maximum size in bytes of the body of a skipped response.
 	maxSkippedSize = 1 << 20
 )
@@ -211,12 +205,7 @@
 // readHead reads the head of the next final response.
 func readHead(c *conn, method string) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
-		c.limited.left, c.limited.lines = maxHeadSize, maxHeadLines
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.limited.left, c.limited.lines = math.MaxInt64, math.MaxInt
-		if err == nil {
-			err = CheckHead(resp)
-		}
+		resp, err := readOneHead(c, method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
@@ -230,6 +219,27 @@
 	return nil, errInformational
 }
 
+// readOneHead reads the head of the next response, which may be an interim one.
+func readOneHead(c *conn, method string) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.limited.left, c.limited.head = maxHeadSize, HeadScanner{}
+	defer func() { c.limited.left = math.MaxInt64 }()
+	if err := c.limited.head.Scan(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if refused := c.limited.head.Err(); refused != nil {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, err
+	}
+	return resp, CheckHead(resp)
+}
+
 // trackedBody is a response body that records whether it was read to the end.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -274,7 +274,7 @@
 		name   string
 		lines  int
 		cutOff bool
-	}{{"most lines", maxHeadLines, false}, {"too many lines", 4 * maxHeadLines, true}} {
+	}{{"most lines", MaxHeadLines, false}, {"too many lines", 4 * MaxHeadLines, true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n"
 			for n := strings.Count(head, "\n"); n < tt.lines-1; n++ {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,19 +1,105 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
-// errBadStatus is returned for a response whose status is below 100.
-var errBadStatus = errors.New("the answer has no valid status")
+// MaxHeadLines is the maximum number of lines of a response head. Many short lines take several
+// times the memory of their text: with 64 KB of them in each answer, a VM of 144 MB used 205 MB.
+const MaxHeadLines = 256
+
+var (
+	// errHeadTooLong is returned if a response head has more lines than MaxHeadLines.
+	errHeadTooLong = fmt.Errorf("the head of the answer has over %d lines", MaxHeadLines)
+	// errContinuedLine is returned for a line that continues the one before it.
+	errContinuedLine = errors.New("a line in the head of the answer begins with a blank")
+	// errBadStatus is returned for a response whose status is below 100.
+	errBadStatus = errors.New("the answer has no valid status")
+	// errBadFieldName is returned for a response with a field whose name is no token.
+	errBadFieldName = errors.New("the answer has a field with an invalid name")
+)
+
+// maxErrorNameBytes is the maximum number of bytes of a field's name in an error.
+const maxErrorNameBytes = 40
 
 // CheckHead returns an error if the head of a response is malformed in a way that net/http
-// accepts.
+// accepts. A blank in a field's name may hide how the body is framed. Of all bytes that are no
+// part of a token, net/http accepts blanks only.
 func CheckHead(r *http.Response) error {
 	if r.StatusCode < http.StatusContinue {
 		return fmt.Errorf("%w: %03d", errBadStatus, r.StatusCode)
 	}
+	for name := range r.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: %q", errBadFieldName, name[:min(len(name), maxErrorNameBytes)])
+		}
+	}
 	return nil
 }
+
+// HeadScanner scans the head of a response, and each interim head before it, as the bytes arrive.
+// It finds what can't be seen in a head that net/http has parsed.
+type HeadScanner struct {
+	ended bool
+	// lines is the number of lines that have begun, and column the length of the last one.
+	lines, column int
+	// interim reports that the status of the head is 1xx, so that another head follows.
+	interim bool
+	err     error
+}
+
+// Err returns why the head is to be refused, or nil.
+func (s *HeadScanner) Err() error { return s.err }
+
+// statusColumn is the position of the status in "HTTP/1.1 200 OK".
+const statusColumn = len("HTTP/1.1 ")
+
+// Scan scans the next bytes and returns an error if the head is to be refused. It ignores bytes
+// after the head.
+func (s *HeadScanner) Scan(p []byte) error {
+	for s.err == nil && !s.ended && len(p) > 0 {
+		line, rest, whole := bytes.Cut(p, []byte{'\n'})
+		s.scanLine(line)
+		if !whole {
+			break
+		}
+		if s.column == 0 {
+			s.ended = !s.interim
+			s.lines = 0
+		}
+		s.column = 0
+		p = rest
+	}
+	return s.err
+}
+
+// scanLine scans a part of a line, without its line feed.
+func (s *HeadScanner) scanLine(part []byte) {
+	part = bytes.TrimSuffix(part, []byte("\r"))
+	if len(part) == 0 {
+		return
+	}
+	if s.column == 0 {
+		s.beginLine(part[0])
+	}
+	if i := statusColumn - s.column; s.lines == 1 && i >= 0 && i < len(part) {
+		s.interim = part[i] == '1'
+	}
+	s.column += len(part)
+}
+
+// beginLine checks the first byte of a line. After a status line, a blank makes the line a part of
+// the value before it, which may hide how the body is framed. RFC 9112, section 5.2, lets a gateway
+// discard such a response.
+func (s *HeadScanner) beginLine(first byte) {
+	if s.lines > 0 && (first == ' ' || first == '\t') {
+		s.err = errContinuedLine
+	}
+	if s.lines++; s.lines > MaxHeadLines {
+		s.err = errHeadTooLong
+	}
+}
--- /dev/null
+++ b/internal/upstream/malformed_head_test.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// exchangeOnOpenConn sends a request to an upstream that answers with text and keeps the
+// connection open, so that only the text can end the exchange.
+func exchangeOnOpenConn(t *testing.T, text string) *Exchange {
+	t.Helper()
+	far, near := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() {
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			_, _ = io.WriteString(far, text)
+		}
+	}()
+	p := &Pool{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	x := post(ctx, p)
+	t.Cleanup(x.Cancel)
+	assert.NilError(t, ctx.Err(), "%q was ended by its time only", text)
+	return x
+}
+
+// Guards against a status that is none and is taken for that of an interim answer, so that the
+// next head is waited for, or whatever follows is believed.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 X", "000", "000 ", "001 X", "020 X", "099 X", "-00 X", "+20 X", "+99 X"} {
+		for _, rest := range []string{"\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok", "\r\n\r\n", "\r\n\r\n" + okResponse, "\r\nX-Id: 1\r\n\r\n" + okResponse} {
+			x := exchangeOnOpenConn(t, "HTTP/1.1 "+status+rest)
+			assert.ErrorIs(t, x.Err, errBadStatus, "%q %q", status, rest)
+			assert.Assert(t, x.Sent)
+		}
+	}
+}
+
+// Interim answers before a final one are sound.
+func TestInterimAnswersAreRead(t *testing.T) {
+	x := exchangeOnOpenConn(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 X\r\n\r\n"+okResponse)
+	assert.NilError(t, x.Err)
+	body, err := io.ReadAll(x.Response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+}
+
+// Guards against a field that is passed on under a name that is no token, or whose blank hides how
+// the body is framed.
+func TestFieldNameThatIsNoTokenIsNoAnswer(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~"
+	for b := range 256 {
+		isToken := strings.ContainsRune(token, rune(b)) || b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+		if isToken || b == ':' || b == '\n' {
+			continue
+		}
+		for _, name := range []string{"%sX", "X%sY", "X%s"} {
+			line := strings.Replace(name, "%s", string([]byte{byte(b)}), 1) + ": z\r\n"
+			for _, head := range []string{
+				"HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + line + "Content-Length: 2\r\n\r\nok",
+				"HTTP/1.1 200 OK\r\n" + line + "X-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+				"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n" + okResponse,
+			} {
+				x := exchangeOnOpenConn(t, head)
+				assert.Assert(t, x.Err != nil, "%q", head)
+			}
+		}
+	}
+}
+
+// Bytes of a token in a name, and blanks in a value or a body, are sound.
+func TestSoundHeadIsRead(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\n!#$%&'*+-.^_`|~09azAZ: z\r\nContent-Length: 6\r\n\r\n\n ok\n\t",
+		"HTTP/1.1 200 OK\nX-Id:1\nX:  y z\t\nX:\nContent-Length: 6 \n\n\n ok\n\t",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 6\r\n\r\n\n ok\n\t",
+		"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 4\r\n\r\n\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 6\r\n\r\n\n ok\n\t",
+	} {
+		x := exchangeOnOpenConn(t, text)
+		assert.NilError(t, x.Err, "%q", text)
+		body, err := io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "\n ok\n\t")
+	}
+}
+
+// A continued line is found wherever the reads of a head and of heads before it end.
+func TestContinuedLineIsFoundInAllPieces(t *testing.T) {
+	const head = "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n Content-Length: 2\r\n\r\n"
+	for n := range len(head) {
+		var s HeadScanner
+		err := s.Scan([]byte(head[:n]))
+		if err == nil {
+			err = s.Scan([]byte(head[n:]))
+		}
+		assert.ErrorIs(t, err, errContinuedLine, "cut after %d bytes", n)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,11 +22,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"slices"
 	"sync"
@@ -97,27 +95,23 @@
 	return err
 }
 
-// limitedReader reads at most left bytes, and nothing more once it has read so many lines. Unlike
-// io.LimitedReader it fails after them.
+// limitedReader reads at most left bytes, and scans the head of a response. Unlike io.LimitedReader
+// it fails after its limit.
 type limitedReader struct {
 	source io.Reader
 	left   int64
-	lines  int
+	head   HeadScanner
 }
 
-// Read reads from the source, up to the limits. The last read may exceed the number of lines,
-// because a body may follow the head in it.
+// Read reads from the source, up to the limit, and fails if the head is to be refused.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	switch {
-	case l.left <= 0:
+	if l.left <= 0 {
 		return 0, errHeadTooLarge
-	case l.lines <= 0:
-		return 0, errHeadTooLong
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
-	if l.lines != math.MaxInt {
-		l.lines -= bytes.Count(p[:n], []byte{'\n'})
+	if refused := l.head.Scan(p[:n]); refused != nil {
+		return 0, refused
 	}
 	return n, err
 }
