Refuse answers of HTTP/1.0 with a transfer encoding

Callers would see: an upstream sends chunks in an answer of HTTP/1.0; the caller gets the sizes of the chunks as a part of the body, with 200.

Cause: net/http ignores and drops the encoding of a version before HTTP/1.1, so that the body ends with its connection or its length. By RFC 9112, section 6.1, the framing of such an answer is faulty.

Change: HeadScanner, which sees the lines before net/http drops the field, refuses it, in direct gateways and sidecars.

Fields with similar names, and HTTP/1.1 after an interim answer of HTTP/1.0, pass.

--- a/internal/direct/malformed_head_test.go
+++ b/internal/direct/malformed_head_test.go
@@ -84,3 +84,11 @@
 	}
 	testMalformedHead(t, "HTTP/1.1 200 X\r\nId : ID\r\nSigned: 1\r\nContent-Length: 2\r\n")
 }
+
+// Guards against chunk sizes that reach a caller as the body of an answer of HTTP/1.0.
+func TestEncodingInVersionWithoutItReachesNoCaller(t *testing.T) {
+	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked"} {
+		testMalformedHead(t, "HTTP/1.0 200 X\r\nId: ID\r\nSigned: 1\r\n"+line+"\r\n")
+		testMalformedHead(t, "HTTP/1.0 200 X\r\n"+line+"\r\nId: ID\r\nSigned: 1\r\nContent-Length: 2\r\n")
+	}
+}
--- a/internal/engine/malformed_head_test.go
+++ b/internal/engine/malformed_head_test.go
@@ -55,3 +55,9 @@
 		}
 	}
 }
+
+// Guards against chunk sizes that are passed on as the body of an answer of HTTP/1.0.
+func TestEncodingInVersionWithoutItIsNoAnswer(t *testing.T) {
+	testMalformedHead(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n")
+	testMalformedHead(t, "HTTP/1.0 200 OK\r\nContent-Length: 27\r\nTransfer-Encoding: chunked\r\n")
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -17,6 +17,8 @@
 	errHeadTooLong = fmt.Errorf("the head of the answer has over %d lines", MaxHeadLines)
 	// errContinuedLine is returned for a line that continues the one before it.
 	errContinuedLine = errors.New("a line in the head of the answer begins with a blank")
+	// errUnexpectedChunks is returned for a response with an encoding that its version of HTTP lacks.
+	errUnexpectedChunks = errors.New("the answer has a transfer encoding in a version of HTTP without one")
 	// errBadStatus is returned for a response whose status is below 100.
 	errBadStatus = errors.New("the answer has no valid status")
 	// errBadFieldName is returned for a response with a field whose name is no token.
@@ -47,47 +49,51 @@
 	ended bool
 	// lines is the number of lines that have begun, and column the length of the last one.
 	lines, column int
+	// start is the start of the last line.
+	start [len(transferEncoding)]byte
 	// interim reports that the status of the head is 1xx, so that another head follows.
 	interim bool
-	err     error
+	// withoutChunks reports that the version of the head is one without chunks.
+	withoutChunks bool
+	err           error
 }
 
+const (
+	// firstVersionWithChunks is the lowest version of HTTP that has chunks.
+	firstVersionWithChunks = "HTTP/1.1"
+	// statusColumn is the position of the status in "HTTP/1.1 200 OK".
+	statusColumn = len("HTTP/1.1 ")
+	// transferEncoding is the start of the field that says that a body has chunks.
+	transferEncoding = "Transfer-Encoding:"
+)
+
 // Err returns why the head is to be refused, or nil.
 func (s *HeadScanner) Err() error { return s.err }
 
-// statusColumn is the position of the status in "HTTP/1.1 200 OK".
-const statusColumn = len("HTTP/1.1 ")
-
 // Scan scans the next bytes and returns an error if the head is to be refused. It ignores bytes
 // after the head.
 func (s *HeadScanner) Scan(p []byte) error {
 	for s.err == nil && !s.ended && len(p) > 0 {
 		line, rest, whole := bytes.Cut(p, []byte{'\n'})
-		s.scanLine(line)
-		if !whole {
-			break
-		}
-		if s.column == 0 {
-			s.ended = !s.interim
-			s.lines = 0
+		s.scanLine(bytes.TrimSuffix(line, []byte{'\r'}))
+		if whole {
+			s.endLine()
 		}
-		s.column = 0
 		p = rest
 	}
 	return s.err
 }
 
-// scanLine scans a part of a line, without its line feed.
+// scanLine scans a part of a line, without its end.
 func (s *HeadScanner) scanLine(part []byte) {
-	part = bytes.TrimSuffix(part, []byte("\r"))
 	if len(part) == 0 {
 		return
 	}
 	if s.column == 0 {
 		s.beginLine(part[0])
 	}
-	if i := statusColumn - s.column; s.lines == 1 && i >= 0 && i < len(part) {
-		s.interim = part[i] == '1'
+	if s.column < len(s.start) {
+		copy(s.start[s.column:], part)
 	}
 	s.column += len(part)
 }
@@ -102,4 +108,21 @@
 	if s.lines++; s.lines > MaxHeadLines {
 		s.err = errHeadTooLong
 	}
+	s.start = [len(transferEncoding)]byte{}
+}
+
+// endLine checks a line that has ended. By RFC 9112, section 6.1, the framing of a response is faulty
+// if it has chunks and its version has none. net/http ignores its encoding.
+func (s *HeadScanner) endLine() {
+	switch {
+	case s.column == 0:
+		s.ended = !s.interim
+		s.lines = 0
+	case s.lines == 1:
+		s.interim = s.start[statusColumn] == '1'
+		s.withoutChunks = string(s.start[:len(firstVersionWithChunks)]) < firstVersionWithChunks
+	case s.withoutChunks && strings.EqualFold(string(s.start[:]), transferEncoding):
+		s.err = errUnexpectedChunks
+	}
+	s.column = 0
 }
--- a/internal/upstream/malformed_head_test.go
+++ b/internal/upstream/malformed_head_test.go
@@ -77,6 +77,35 @@
 	}
 }
 
+// Guards against chunk sizes that are passed on as the body, since net/http ignores the encoding of
+// an answer of HTTP/1.0.
+func TestEncodingInVersionWithoutItIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/0.9 200 OK\nX-Id: 1\nTRANSFER-ENCODING: gzip, chunked\n\n",
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		x := exchangeOnOpenConn(t, head+"2\r\nok\r\n0\r\n\r\n")
+		assert.ErrorIs(t, x.Err, errUnexpectedChunks, "%q", head)
+		for n := range len(head) {
+			var s HeadScanner
+			_ = s.Scan([]byte(head[:n]))
+			assert.ErrorIs(t, s.Scan([]byte(head[n:])), errUnexpectedChunks, "%q, cut after %d bytes", head, n)
+		}
+	}
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encodings: x\r\nX-Transfer-Encoding: x\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0 103 X\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		x := exchangeOnOpenConn(t, head)
+		assert.NilError(t, x.Err, "%q", head)
+		body, err := io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+	}
+}
+
 // Bytes of a token in a name, and blanks in a value or a body, are sound.
 func TestSoundHeadIsRead(t *testing.T) {
 	for _, text := range []string{
