--- a/internal/direct/early_end_test.go
+++ b/internal/direct/early_end_test.go
@@ -148,33 +148,41 @@
 	}
 }
 
-// Guards against an early refusal that is lost because the rest of the upload is not read.
-func TestEarlyAnswerWithLengthIsPassedOn(t *testing.T) {
-	for name, end := range connectionEnds {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, 0)
-			f.view.Table.Limits.BodyBytes = 16 << 20
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer l.Close()
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					t.Cleanup(func() { _ = c.Close() })
-					if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.CopyN(io.Discard, r.Body, 1000)
-						_, _ = io.WriteString(c, strings.ReplaceAll(responseText(http.StatusRequestEntityTooLarge, "Signed: 1\r\n", "too large"), "ID", "7"))
-						end(c.(*net.TCPConn))
+// Guards against an early answer that is lost because the rest of the upload is not read. A refusal
+// needs no body.
+func TestEarlyAnswerIsPassedOn(t *testing.T) {
+	tests := []struct{ name, answer, want string }{
+		{"with a length", responseText(http.StatusRequestEntityTooLarge, "Signed: 1\r\n", "too large"), "413 too large"},
+		{"refusal", "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n\r\npart", "503 code 4006"},
+	}
+	for _, tt := range tests {
+		for name, end := range connectionEnds {
+			t.Run(tt.name+", "+name, func(t *testing.T) {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				defer l.Close()
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						t.Cleanup(func() { _ = c.Close() })
+						if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+							_, _ = io.CopyN(io.Discard, r.Body, 1000)
+							_, _ = io.WriteString(c, strings.ReplaceAll(tt.answer, "ID", "7"))
+							end(c.(*net.TCPConn))
+						}
 					}
+				}()
+				for range 10 {
+					// Each gateway is a new one, as an upstream that refuses gets fewer requests.
+					f := newFixture(t, 0)
+					f.view.Table.Limits.BodyBytes = 16 << 20
+					f.addUpstream("early", l.Addr().String())
+					assert.Equal(t, f.call(t, http.MethodPost, "/book/1", strings.Repeat("x", 1<<20)), tt.want)
 				}
-			}()
-			f.addUpstream("early", l.Addr().String())
-			for range 10 {
-				assert.Equal(t, f.call(t, http.MethodPost, "/book/1", strings.Repeat("x", 1<<20)), "413 too large")
-			}
-		})
+			})
+		}
 	}
 }
--- a/internal/upstream/malformed_head_test.go
+++ b/internal/upstream/malformed_head_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// Guards against a skipped answer whose malformed head hides where it ends, and against a sound
+// answer that is read out of the body of a skipped one.
+func TestMalformedSkippedAnswerIsNotRead(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 X\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 000 X\r\nX-Id: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 0\r\nX Y: z\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\nX: y\r\n Transfer-Encoding: chunked\r\n\r\nno",
+		"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 000 X\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nX-Id: 1\r\nX Y: z\r\n\r\n",
+	} {
+		x := exchangeOnOpenConn(t, text+okResponse)
+		assert.Assert(t, x.Err != nil, "%q", text)
+	}
+	address, _ := serve(t, []string{"HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\npart" + okResponse})
+	p := &Pool{Address: address}
+	defer p.Close()
+	x := post(t.Context(), p)
+	defer x.Close()
+	assert.Assert(t, x.Err != nil, "an answer without a length goes on to the end of its connection")
+}
+
 // A continued line is found wherever the reads of a head and of heads before it end.
 func TestContinuedLineIsFoundInAllPieces(t *testing.T) {
 	const head = "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n Content-Length: 2\r\n\r\n"
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,10 @@
 // request may be retried. A connection is reused only if the previous response
 // was complete, no unread data is left on it and the upstream has not closed it.
 //
+// A response with neither a length nor chunks ends with its connection. That end is
+// believed only if the upstream has received the whole request, because it may otherwise
+// have reset the connection. Malformed heads that net/http accepts are refused.
+//
 // A response that does not say to which request it belongs is believed only as the
 // first one on its connection. An upstream that sends such responses gets requests
 // that may run once on unused connections, so that its refusals stay believable.
