--- a/internal/direct/early_end_test.go
+++ b/internal/direct/early_end_test.go
@@ -41,29 +41,35 @@
 	f := newFixture(t, 0)
 	f.neverInactive()
 	f.view.Table.Limits.BodyBytes = 16 << 20
-	// A small receive buffer keeps the end of an upload that nobody reads from being received.
+	for n := range 3 {
+		f.addUpstream(fmt.Sprintf("early%d", n), listenRaw(t, u.serve))
+	}
+	return f
+}
+
+// listenRaw calls serve for each connection to the address that it returns. Its small receive
+// buffer keeps the end of an upload that nobody reads from being received.
+func listenRaw(t *testing.T, serve func(c *net.TCPConn)) (address string) {
+	t.Helper()
 	control := func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
 		})
 	}
-	for n := range 3 {
-		l, err := (&net.ListenConfig{Control: control}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				t.Cleanup(func() { _ = c.Close() })
-				go u.serve(c.(*net.TCPConn))
+	l, err := (&net.ListenConfig{Control: control}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
 			}
-		}()
-		f.addUpstream(fmt.Sprintf("early%d", n), l.Addr().String())
-	}
-	return f
+			t.Cleanup(func() { _ = c.Close() })
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
 }
 
 // serve answers streamed routes with the events 1 to 3, of which the part has two, and others with
@@ -158,28 +164,18 @@
 	for _, tt := range tests {
 		for name, end := range connectionEnds {
 			t.Run(tt.name+", "+name, func(t *testing.T) {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				defer l.Close()
-				go func() {
-					for {
-						c, err := l.Accept()
-						if err != nil {
-							return
-						}
-						t.Cleanup(func() { _ = c.Close() })
-						if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-							_, _ = io.CopyN(io.Discard, r.Body, 1000)
-							_, _ = io.WriteString(c, strings.ReplaceAll(tt.answer, "ID", "7"))
-							end(c.(*net.TCPConn))
-						}
+				address := listenRaw(t, func(c *net.TCPConn) {
+					if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+						_, _ = io.CopyN(io.Discard, r.Body, 1000)
+						_, _ = io.WriteString(c, strings.ReplaceAll(tt.answer, "ID", "7"))
+						end(c)
 					}
-				}()
+				})
 				for range 10 {
 					// Each gateway is a new one, as an upstream that refuses gets fewer requests.
 					f := newFixture(t, 0)
 					f.view.Table.Limits.BodyBytes = 16 << 20
-					f.addUpstream("early", l.Addr().String())
+					f.addUpstream("early", address)
 					assert.Equal(t, f.call(t, http.MethodPost, "/book/1", strings.Repeat("x", 1<<20)), tt.want)
 				}
 			})
