Set the trackers of all tasks before one runs in two fleet tests

Trace: the race detector names the test's write of Task.Suspicions and the read in HandleSync of a call by another task. The test made and started one task after the other, and the fake platform passes calls on as soon as a task is made, so that a running task could call one whose field was not set yet. In the product the field is set before Run and before the process listens.

Change: trackedTasks makes all tasks before one of them runs, in TestKnownSuspicionsAreNotSent too. The checks stay.

--- a/internal/fleet/suspicion_test.go
+++ b/internal/fleet/suspicion_test.go
@@ -51,6 +51,18 @@
 	return len(f.held), f.snapshots
 }
 
+// trackedTasks makes a task of each process of the platform, before any of them runs and calls
+// another one. It returns their trackers in the order of the list.
+func trackedTasks(f *fakePlatform) (trackers []*fakeTracker) {
+	for _, v := range f.list.VMs {
+		task := f.task(v, time.Now)
+		tracker := &fakeTracker{exchangeNow: task.ExchangeNow}
+		task.Suspicions = tracker
+		trackers = append(trackers, tracker)
+	}
+	return trackers
+}
+
 // Peers that suspect the same send each other no suspicions.
 func TestKnownSuspicionsAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -62,12 +74,8 @@
 		f.set("data_centres", "vatva in")
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
-		var trackers []*fakeTracker
-		for _, v := range f.list.VMs {
-			task := f.task(v, time.Now)
-			tracker := &fakeTracker{exchangeNow: task.ExchangeNow}
-			task.Suspicions = tracker
-			trackers = append(trackers, tracker)
+		trackers := trackedTasks(f)
+		for _, task := range f.tasks {
 			group.Go(func() { assert.Check(t, task.Run(ctx)) })
 		}
 		until(t, "ready", 5*time.Second, func() bool { return f.tasks[f.list.VMs[2].Address].View().Ready })
@@ -96,12 +104,8 @@
 		f.set("data_centres", "vatva in")
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
-		var trackers []*fakeTracker
-		for _, v := range f.list.VMs {
-			task := f.task(v, time.Now)
-			tracker := &fakeTracker{exchangeNow: task.ExchangeNow}
-			task.Suspicions = tracker
-			trackers = append(trackers, tracker)
+		trackers := trackedTasks(f)
+		for _, task := range f.tasks {
 			group.Go(func() { assert.Check(t, task.Run(ctx)) })
 		}
 		until(t, "ready", 5*time.Second, func() bool { return f.tasks[f.list.VMs[5].Address].View().Ready })
